Set up the workspace, the design page and the shared types

Cause: the repository was empty. Change: npm workspaces in domain folders, lint rules that hold the layout and keep sockets, timers and clocks out of decision packages, a test runner that compares failures with KNOWN-RED.txt, core packages (clock, random, errors, logger, settings) and the types that the other packages share. Before: nothing ran. Conclusion: the packages can be written side by side against these types.

--- /dev/null
+++ b/core/random/src/index.ts
@@ -0,0 +1,39 @@
+/**
+ * Seeded random source for decisions. The same seed gives the same sequence on every machine.
+ */
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+
+/** Source of random numbers. */
+export interface Random {
+    /** A number from 0, included, to 1, excluded. */
+    nextFraction(): number;
+    /** A whole number from 0, included, to `maxExclusive`, excluded. */
+    nextInteger(maxExclusive: number): number;
+    /** A new array with the same items in random order. */
+    shuffle<Item>(items: readonly Item[]): Item[];
+}
+
+/** Creates a random source from a whole-number seed. */
+export function createSeededRandom(seed: number): Random {
+    const generator = xoroshiro128plus(seed);
+    const nextInteger = (maxExclusive: number): number => uniformInt(generator, 0, maxExclusive - 1);
+    return {
+        nextFraction: () => uniformFloat64(generator),
+        nextInteger,
+        shuffle: items => shuffleWith(items, nextInteger),
+    };
+}
+
+/** Fisher-Yates shuffle of a copy. */
+function shuffleWith<Item>(items: readonly Item[], nextInteger: (maxExclusive: number) => number): Item[] {
+    const shuffled = [...items];
+    for (let last = shuffled.length - 1; last > 0; last--) {
+        const other = nextInteger(last + 1);
+        const moved = shuffled[last] as Item;
+        shuffled[last] = shuffled[other] as Item;
+        shuffled[other] = moved;
+    }
+    return shuffled;
+}
--- /dev/null
+++ b/daemons/node/src/main.ts
@@ -0,0 +1,2 @@
+/** Entry point; the program is not written yet. */
+process.exitCode = 2;
--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,92 @@
+// Layout and names follow the TypeScript team's guidelines. Decision packages may not reach sockets, timers or clocks.
+import stylistic from "@stylistic/eslint-plugin";
+import tseslint from "typescript-eslint";
+
+const ioModules = [
+    "node:http",
+    "node:https",
+    "node:net",
+    "node:dgram",
+    "node:tls",
+    "node:fs",
+    "node:fs/promises",
+    "node:timers",
+    "node:timers/promises",
+    "node:child_process",
+    "node:worker_threads",
+    "node:process",
+    "node:os",
+    "node:perf_hooks",
+];
+const forbiddenGlobals = [
+    "Date",
+    "setTimeout",
+    "setInterval",
+    "setImmediate",
+    "clearTimeout",
+    "clearInterval",
+    "queueMicrotask",
+    "process",
+    "performance",
+    "fetch",
+];
+
+export default tseslint.config(
+    { ignores: ["**/dist/**", "**/node_modules/**"] },
+    ...tseslint.configs.recommended,
+    stylistic.configs.customize({
+        indent: 4,
+        quotes: "double",
+        semi: true,
+        braceStyle: "stroustrup",
+        commaDangle: "always-multiline",
+        arrowParens: false,
+    }),
+    {
+        rules: {
+            "@stylistic/max-len": ["error", { code: 120, ignoreUrls: true, ignoreStrings: true, ignoreTemplateLiterals: true }],
+            "@stylistic/quotes": ["error", "double", { avoidEscape: true, allowTemplateLiterals: "always" }],
+            "@stylistic/operator-linebreak": ["error", "before"],
+            "@stylistic/indent-binary-ops": "off",
+            "@stylistic/arrow-parens": ["error", "as-needed"],
+            "@stylistic/quote-props": ["error", "as-needed"],
+            "@typescript-eslint/no-unused-vars": ["error", { argsIgnorePattern: "^_" }],
+            "@typescript-eslint/naming-convention": [
+                "error",
+                { selector: "typeLike", format: ["PascalCase"] },
+                { selector: "enumMember", format: ["PascalCase"] },
+                { selector: ["function", "classMethod"], format: ["camelCase"] },
+                { selector: "interface", format: ["PascalCase"], custom: { regex: "^I[A-Z]", match: false } },
+            ],
+            "no-restricted-syntax": [
+                "error",
+                { selector: "Literal[raw='null']", message: "Use undefined instead of null." },
+            ],
+            eqeqeq: "error",
+            "max-lines": ["error", { max: 400, skipBlankLines: true, skipComments: true }],
+            "max-lines-per-function": ["error", { max: 70, skipBlankLines: true, skipComments: true }],
+        },
+    },
+    {
+        files: ["coordination/*/src/**/*.ts", "state/*/src/**/*.ts"],
+        rules: {
+            "no-restricted-imports": ["error", {
+                paths: ioModules.map(name => ({ name, message: "Decisions are deterministic and do no input or output." })),
+                patterns: ["@bilberrycroft/transport.*", "@bilberrycroft/daemons.*", "@trpc/*"],
+            }],
+            "no-restricted-globals": ["error", ...forbiddenGlobals.map(name => ({
+                name,
+                message: "Decisions take the clock, timers and random source as arguments.",
+            }))],
+            "no-restricted-properties": ["error", { object: "Math", property: "random", message: "Use the Random passed in." }],
+        },
+    },
+    {
+        files: ["**/test/**/*.ts"],
+        rules: { "max-lines-per-function": "off" },
+    },
+    {
+        files: ["scripts/*.mjs", "eslint.config.mjs"],
+        rules: { "no-restricted-syntax": "off" },
+    },
+);
--- /dev/null
+++ b/protocol/store/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./keys";
+export * from "./types";
--- /dev/null
+++ b/state/snapshots/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./types";
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,12 @@
+/** Test settings. Every test file of the workspace runs in one vitest project, in worker threads. */
+import { defineConfig } from "vitest/config";
+
+export default defineConfig({
+    test: {
+        include: ["*/*/test/**/*.test.ts", "bench/test/**/*.test.ts"],
+        exclude: ["**/node_modules/**", "**/dist/**"],
+        testTimeout: 60_000,
+        hookTimeout: 60_000,
+        maxWorkers: 4,
+    },
+});
