--- a/state/rules/src/types.ts
+++ b/state/rules/src/types.ts
@@ -95,6 +95,7 @@
     DanglingReference = "ERR_RULES_DANGLING_REFERENCE",
     Cycle = "ERR_RULES_CYCLE",
     TooLarge = "ERR_RULES_TOO_LARGE",
+    TooManyProblems = "ERR_RULES_TOO_MANY_PROBLEMS",
 }
 
 /** One reason why a rules file is refused. */
@@ -118,3 +119,45 @@
 export type RuleParse =
     | { readonly kind: RuleParseKind.Accepted; readonly rules: RuleSet }
     | { readonly kind: RuleParseKind.Refused; readonly problems: readonly RuleProblem[] };
+
+/** Kinds of `RuleChange`. */
+export enum RuleChangeKind {
+    Added = "added",
+    Removed = "removed",
+    Changed = "changed",
+}
+
+/** One rule that differs between two rule sets. */
+export interface RuleChange {
+    readonly kind: RuleChangeKind;
+    readonly ruleKind: RuleKind;
+    readonly name: string;
+    /** Line of the rule after the change; for a removed rule, before it. */
+    readonly line: number;
+    /** Requester of that line. */
+    readonly requester: string;
+    readonly before: Rule | undefined;
+    readonly after: Rule | undefined;
+}
+
+/** The part of a version's record that attribution reads. Every snapshot has this shape. */
+export interface RecordedVersion {
+    readonly version: number;
+    /** Version that this one replaced; 0 for the first. */
+    readonly parent: number;
+    readonly text: string;
+    readonly operator: string;
+    readonly acceptedAt: Milliseconds;
+}
+
+/** The version that introduced one line of the newest version. */
+export interface Attribution {
+    /** Line number in the newest version, from 1. */
+    readonly line: number;
+    readonly text: string;
+    readonly version: number;
+    readonly operator: string;
+    readonly acceptedAt: Milliseconds;
+    /** `false` when the preceding version is not in the history: the line may be older than `version`. */
+    readonly exact: boolean;
+}
