--- a/protocol/store/src/index.ts
+++ b/protocol/store/src/index.ts
@@ -1,2 +1,5 @@
+export * from "./faults";
 export * from "./keys";
+export * from "./memoryStore";
+export * from "./objects";
 export * from "./types";
--- /dev/null
+++ b/protocol/store/test/storeContract.ts
@@ -0,0 +1,254 @@
+/**
+ * The behaviour that every implementation of `Store` has, as one suite that each implementation runs.
+ */
+import { setImmediate } from "node:timers/promises";
+import {
+    maxObjectBytes,
+    type ReadOutcome,
+    type Store,
+    type StoreFault,
+    type StoreFaultControl,
+    StoreFaultKind,
+    StoreOutcomeKind,
+    WriteConditionKind,
+    type WriteOutcome,
+} from "@bilberrycroft/protocol.store";
+import { VirtualTimeScheduler } from "rxjs";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+
+/** One implementation under test; its delays and watches run on the given scheduler. */
+export interface StoreFixture {
+    readonly store: Store;
+    readonly faults: StoreFaultControl;
+    close(): Promise<void>;
+}
+
+const absent = { kind: WriteConditionKind.Absent } as const;
+const unavailable = expect.objectContaining({ kind: StoreOutcomeKind.Unavailable });
+const unknown = expect.objectContaining({ kind: StoreOutcomeKind.Unknown });
+
+/** Runs virtual timers up to `ms` from now. */
+function advance(scheduler: VirtualTimeScheduler, ms: number): void {
+    scheduler.maxFrames = scheduler.frame + ms;
+    scheduler.flush();
+    scheduler.frame = scheduler.maxFrames;
+}
+
+/** Waits for a condition without a bound of its own; the test's timeout applies. */
+export async function until(condition: () => boolean): Promise<void> {
+    while (!condition()) {
+        await setImmediate();
+    }
+}
+
+function expectDone(outcome: WriteOutcome): string {
+    if (outcome.kind !== StoreOutcomeKind.Done) {
+        throw new Error(`the write ended with ${outcome.kind}`);
+    }
+    return outcome.revision;
+}
+
+/** Declares the suite for one implementation. */
+export function describeStoreContract(
+    name: string,
+    createFixture: (scheduler: VirtualTimeScheduler) => Promise<StoreFixture>,
+): void {
+    describe(`store contract of ${name}`, () => {
+        let scheduler: VirtualTimeScheduler;
+        let fixture: StoreFixture;
+        let store: Store;
+
+        beforeEach(async () => {
+            scheduler = new VirtualTimeScheduler();
+            fixture = await createFixture(scheduler);
+            store = fixture.store;
+        });
+        afterEach(() => fixture.close());
+
+        const create = async (key: string, value = "1"): Promise<string> =>
+            expectDone(await store.write(key, value, absent));
+        const readValue = async (key: string): Promise<string | undefined> => {
+            const outcome: ReadOutcome = await store.read(key);
+            return outcome.kind === StoreOutcomeKind.Done ? outcome.object.value : undefined;
+        };
+
+        describe("conditional writes", () => {
+            it("returns what was written under the revision of the write, so that the next update can name it", async () => {
+                const revision = await create("a/b", "{\"text\":\"é\"}");
+                expect(await store.read("a/b")).toEqual({
+                    kind: StoreOutcomeKind.Done,
+                    object: { key: "a/b", revision, value: "{\"text\":\"é\"}" },
+                });
+            });
+
+            it("lets one of two writers of the same revision win, so that no update is overwritten unseen", async () => {
+                const condition = { kind: WriteConditionKind.Revision, revision: await create("a") } as const;
+                const outcomes = await Promise.all([store.write("a", "2", condition), store.write("a", "3", condition)]);
+                expect(outcomes.map(outcome => outcome.kind).sort())
+                    .toEqual([StoreOutcomeKind.Conflict, StoreOutcomeKind.Done]);
+            });
+
+            it("never uses a revision again after a removal, so that a paused writer can not overwrite a new object", async () => {
+                const first = await create("a");
+                const removal = expectDone(await store.remove("a", first));
+                const second = await create("a");
+                expect(new Set([first, removal, second]).size).toBe(3);
+                expect(await store.write("a", "9", { kind: WriteConditionKind.Revision, revision: first }))
+                    .toEqual({ kind: StoreOutcomeKind.Conflict });
+            });
+
+            const refusedWrites = [
+                { name: "creation of an existing object", key: "a", condition: absent },
+                {
+                    name: "an update of a missing object",
+                    key: "b",
+                    condition: { kind: WriteConditionKind.Revision, revision: "r0" } as const,
+                },
+            ];
+            it.each(refusedWrites)("reports a conflict for $name, so that nothing changes", async ({ key, condition }) => {
+                await create("a");
+                expect(await store.write(key, "2", condition)).toEqual({ kind: StoreOutcomeKind.Conflict });
+                expect(fixture.faults.counts().committed).toBe(1);
+            });
+
+            it("reports a conflict for a removal at another revision, so that a newer object stays", async () => {
+                await create("a");
+                expect(await store.remove("a", "r0")).toEqual({ kind: StoreOutcomeKind.Conflict });
+                expect(await readValue("a")).toBe("1");
+            });
+        });
+
+        describe("bounds", () => {
+            const fullValue = `"${"x".repeat(maxObjectBytes - 2)}"`;
+            const writes = [
+                { name: "a value of the full size", value: fullValue, kind: StoreOutcomeKind.Done },
+                { name: "a value one byte over", value: ` ${fullValue}`, kind: StoreOutcomeKind.Unavailable },
+                { name: "a value that is not JSON", value: "{", kind: StoreOutcomeKind.Unavailable },
+            ];
+            it.each(writes)("answers $kind to $name", async ({ value, kind }) => {
+                expect((await store.write("a", value, absent)).kind).toBe(kind);
+                expect(await readValue("a")).toBe(kind === StoreOutcomeKind.Done ? value : undefined);
+            });
+
+            it.each(["", "/a", "a//b", "a/../b", "a?b", "a b", "x".repeat(300)])(
+                "refuses the key %j, which a URL could carry to another object",
+                async key => {
+                    expect(await store.read(key)).toEqual(unavailable);
+                    expect(await store.write(key, "1", absent)).toEqual(unavailable);
+                },
+            );
+
+            it("refuses a revision that would break the header that carries it", async () => {
+                expect(await store.remove("a", "x\"\r\ny")).toEqual(unavailable);
+            });
+        });
+
+        it("lists the keys under a prefix in order, so that history is read in order of versions", async () => {
+            const second = await create("h/2");
+            const first = await create("h/1");
+            await create("other");
+            expect(await store.list("h/")).toEqual({
+                kind: StoreOutcomeKind.Done,
+                objects: [{ key: "h/1", revision: first }, { key: "h/2", revision: second }],
+            });
+        });
+
+        describe("watches", () => {
+            const waiting = (): Promise<void> => until(() => fixture.faults.counts().waitingWatches === 1);
+
+            it("ends at once when the object is newer, so that no change is missed between two watches", async () => {
+                const revision = await create("a", "7");
+                expect(await store.watch({ key: "a", after: "r0", waitMs: 1_000 })).toEqual({
+                    kind: StoreOutcomeKind.Done,
+                    object: { key: "a", revision, value: "7" },
+                });
+            });
+
+            it("waits through a removal until the object exists again", async () => {
+                const revision = await create("a");
+                const watch = store.watch({ key: "a", after: revision, waitMs: 1_000 });
+                await waiting();
+                await store.remove("a", revision);
+                await create("a", "8");
+                expect(await watch).toMatchObject({ kind: StoreOutcomeKind.Done, object: { value: "8" } });
+            });
+
+            const quietEnds = [
+                { name: "when its wait is over", end: (): void => advance(scheduler, 1_000) },
+                { name: "when the watcher gives up", end: (abort: AbortController): void => abort.abort() },
+            ];
+            it.each(quietEnds)("ends unchanged $name, and leaves nothing behind in the store", async ({ end }) => {
+                const abort = new AbortController();
+                const watch = store.watch({ key: "a", after: undefined, waitMs: 1_000, signal: abort.signal });
+                await waiting();
+                await create("b");
+                end(abort);
+                expect(await watch).toEqual({ kind: StoreOutcomeKind.Unchanged });
+                await until(() => fixture.faults.counts().waitingWatches === 0);
+            });
+
+            it("ends when the store goes down, so that a watcher notices the outage", async () => {
+                const watch = store.watch({ key: "a", after: undefined, waitMs: 1_000 });
+                await waiting();
+                fixture.faults.inject({ kind: StoreFaultKind.Down });
+                expect(await watch).toEqual(unavailable);
+            });
+        });
+
+        describe("faults", () => {
+            const lostWrites: readonly { name: string; fault: StoreFault; remains: string | undefined }[] = [
+                { name: "response", fault: { kind: StoreFaultKind.LoseResponses, count: 1 }, remains: "1" },
+                { name: "request", fault: { kind: StoreFaultKind.LoseRequests, count: 1 }, remains: undefined },
+            ];
+            it.each(lostWrites)("reports Unknown for a write whose $name is lost, once", async ({ fault, remains }) => {
+                fixture.faults.inject(fault);
+                expect(await store.write("a", "1", absent)).toEqual(unknown);
+                expect(await readValue("a")).toBe(remains);
+                await create("b");
+            });
+
+            it("reports Unknown for a removal whose response is lost, though the object is gone", async () => {
+                const revision = await create("a");
+                fixture.faults.inject({ kind: StoreFaultKind.LoseResponses, count: 1 });
+                expect(await store.remove("a", revision)).toEqual(unknown);
+                expect(await readValue("a")).toBeUndefined();
+            });
+
+            it("refuses every kind of call while it is down and keeps its objects", async () => {
+                const revision = await create("a");
+                fixture.faults.inject({ kind: StoreFaultKind.Down });
+                const outcomes = await Promise.all([
+                    store.read("a"),
+                    store.list(""),
+                    store.write("a", "2", { kind: WriteConditionKind.Revision, revision }),
+                    store.remove("a", revision),
+                    store.watch({ key: "a", after: undefined, waitMs: 0 }),
+                ]);
+                expect(outcomes).toEqual(Array.from(outcomes, () => unavailable));
+                fixture.faults.inject({ kind: StoreFaultKind.Up });
+                expect(await readValue("a")).toBe("1");
+            });
+
+            it("holds a call of a slow store until its delay is over", async () => {
+                fixture.faults.inject({ kind: StoreFaultKind.Slow, delayMs: 500 });
+                const write = store.write("a", "1", absent);
+                await until(() => fixture.faults.counts().delayed === 1);
+                advance(scheduler, 499);
+                expect(fixture.faults.counts().committed).toBe(0);
+                advance(scheduler, 1);
+                expectDone(await write);
+                fixture.faults.inject({ kind: StoreFaultKind.Clear });
+                expect(await readValue("a")).toBe("1");
+            });
+
+            it("counts each call once by kind, so that tests can prove the fleet's rate", async () => {
+                const revision = await create("a");
+                await store.read("a");
+                await store.list("");
+                await store.watch({ key: "a", after: undefined, waitMs: 1_000 });
+                await store.remove("a", revision);
+                expect(fixture.faults.counts().calls).toEqual({ read: 1, list: 1, write: 1, remove: 1, watch: 1 });
+            });
+        });
+    });
+}
