--- a/transport/store/src/index.ts
+++ b/transport/store/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from "./httpStore";
--- /dev/null
+++ b/transport/store/src/interpret.ts
@@ -0,0 +1,116 @@
+/**
+ * Turns HTTP exchanges into store outcomes. A response that the API does not define proves nothing: it is `Unavailable`
+ * for reads and `Unknown` for writes.
+ */
+import {
+    createUnavailableOutcome,
+    type ListOutcome,
+    objectKeySchema,
+    type ReadOutcome,
+    type StoredObject,
+    StoreOutcomeKind,
+    type UnavailableStore,
+    type WatchOutcome,
+    type WatchRequest,
+    type WriteOutcome,
+} from "@bilberrycroft/protocol.store";
+import { z } from "zod";
+import { type ExchangeOutcome, ExchangeOutcomeKind } from "./exchange";
+
+type Response = Extract<ExchangeOutcome, { kind: ExchangeOutcomeKind.Responded }>;
+
+const revisionPattern = /^"([^"]{1,64})"$/;
+const listSchema = z.object({
+    objects: z.array(z.object({ key: objectKeySchema, revision: z.string().min(1) })),
+});
+/** Statuses that the store sends before it looks at the object, so a write with one of them did not take effect. */
+const refusalStatuses: ReadonlySet<number> = new Set([400, 405, 413, 428, 503]);
+
+/** Outcome of a read. */
+export function interpretRead(key: string, exchange: ExchangeOutcome): ReadOutcome {
+    if (exchange.kind !== ExchangeOutcomeKind.Responded) {
+        return createUnavailableOutcome(exchange.reason);
+    }
+    if (exchange.status === 404) {
+        return { kind: StoreOutcomeKind.Absent };
+    }
+    const object = parseObject(key, exchange);
+    return object === undefined ? describeRefusal(exchange) : { kind: StoreOutcomeKind.Done, object };
+}
+
+/** Outcome of a list. */
+export function interpretList(exchange: ExchangeOutcome): ListOutcome {
+    if (exchange.kind !== ExchangeOutcomeKind.Responded) {
+        return createUnavailableOutcome(exchange.reason);
+    }
+    const list = exchange.status === 200 ? listSchema.safeParse(parseJson(exchange.body)) : undefined;
+    return list?.success === true
+        ? { kind: StoreOutcomeKind.Done, objects: list.data.objects }
+        : describeRefusal(exchange);
+}
+
+/** Outcome of a write or a removal. */
+export function interpretWrite(exchange: ExchangeOutcome): WriteOutcome {
+    switch (exchange.kind) {
+        case ExchangeOutcomeKind.NotSent:
+            return createUnavailableOutcome(exchange.reason);
+        case ExchangeOutcomeKind.Lost:
+            return { kind: StoreOutcomeKind.Unknown, reason: exchange.reason };
+        case ExchangeOutcomeKind.Responded:
+            return interpretWriteResponse(exchange);
+    }
+}
+
+function interpretWriteResponse(response: Response): WriteOutcome {
+    const revision = parseRevision(response);
+    if ((response.status === 200 || response.status === 204) && revision !== undefined) {
+        return { kind: StoreOutcomeKind.Done, revision };
+    }
+    if (response.status === 412) {
+        return { kind: StoreOutcomeKind.Conflict };
+    }
+    return refusalStatuses.has(response.status)
+        ? describeRefusal(response)
+        : { kind: StoreOutcomeKind.Unknown, reason: `unexpected response ${response.status}` };
+}
+
+/** Outcome of a watch. */
+export function interpretWatch(request: WatchRequest, exchange: ExchangeOutcome): WatchOutcome {
+    if (exchange.kind !== ExchangeOutcomeKind.Responded) {
+        return request.signal?.aborted === true
+            ? { kind: StoreOutcomeKind.Unchanged }
+            : createUnavailableOutcome(exchange.reason);
+    }
+    if (exchange.status === 204) {
+        return { kind: StoreOutcomeKind.Unchanged };
+    }
+    const object = parseObject(request.key, exchange);
+    return object === undefined ? describeRefusal(exchange) : { kind: StoreOutcomeKind.Done, object };
+}
+
+function parseObject(key: string, response: Response): StoredObject | undefined {
+    const revision = parseRevision(response);
+    const complete = response.status === 200 && parseJson(response.body) !== undefined;
+    return complete && revision !== undefined ? { key, revision, value: response.body } : undefined;
+}
+
+function parseRevision(response: Response): string | undefined {
+    return revisionPattern.exec(response.entityTag ?? "")?.[1];
+}
+
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        return undefined;
+    }
+}
+
+const reasonSchema = z.object({ reason: z.string() });
+
+function describeRefusal(response: Response): UnavailableStore {
+    const body = reasonSchema.safeParse(parseJson(response.body));
+    const reason = body.success ? `: ${body.data.reason}` : "";
+    return createUnavailableOutcome(`the store responded ${response.status}${reason}`);
+}
