--- a/standins/store/src/index.ts
+++ b/standins/store/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from "./program";
+export * from "./server";
