--- a/state/snapshots/src/types.ts
+++ b/state/snapshots/src/types.ts
@@ -61,6 +61,8 @@
 /** Why a snapshot was refused as a whole. */
 export enum RefusalReason {
     DigestMismatch = "digest mismatch",
+    /** Version, parent or another field holds a value that no operator's client writes. */
+    BadFormat = "bad format",
     BadRules = "bad rules",
 }
 
