--- a/coordination/admission/src/index.ts
+++ b/coordination/admission/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./admission";
+export * from "./dispatcher";
+export * from "./types";
--- a/coordination/routing/src/index.ts
+++ b/coordination/routing/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./router";
+export * from "./subsetting";
+export * from "./types";
--- a/state/histograms/src/index.ts
+++ b/state/histograms/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from "./callHistograms";
+export * from "./latencyHistogram";
