--- /dev/null
+++ b/coordination/admission/test/dispatcher.test.ts
@@ -0,0 +1,245 @@
+import { Dispatcher, DispatchKind } from "@bilberrycroft/coordination.admission";
+import type { DispatchEvent, Submission, SubmittedCall } from "@bilberrycroft/coordination.admission";
+import { TargetState } from "@bilberrycroft/coordination.membership";
+import { AttemptResult, Router } from "@bilberrycroft/coordination.routing";
+import type { EndedAttempt, RoutingTarget } from "@bilberrycroft/coordination.routing";
+import { ManualClock } from "@bilberrycroft/core.clock";
+import { createSeededRandom } from "@bilberrycroft/core.random";
+import { CallReason } from "@bilberrycroft/protocol.calls";
+import { RuleKind, RunTimeClass } from "@bilberrycroft/state.rules";
+import type { RouteRule } from "@bilberrycroft/state.rules";
+import { beforeEach, describe, expect, it } from "vitest";
+
+const origin = { line: 1, text: "", requester: "test", reason: undefined };
+const lookup: RouteRule = {
+    ...origin,
+    kind: RuleKind.Route,
+    name: "lookup",
+    path: "/lookup",
+    to: "readings",
+    runTimeClass: RunTimeClass.Short,
+    timeoutMs: 1_000,
+    repeatable: true,
+    needs: [],
+    tenants: [],
+    ratePerSecond: undefined,
+    priority: 5,
+};
+const history: RouteRule = { ...lookup, name: "history", runTimeClass: RunTimeClass.Long };
+const tenant = { name: "farm", weight: 1, ratePerSecond: undefined };
+
+let clock: ManualClock;
+let dispatcher: Dispatcher;
+let serial: number;
+
+function createTarget(id: string, slots: number): RoutingTarget {
+    const state = TargetState.Ready;
+    return { id, service: "readings", address: id, zone: "a", state, slots, connections: 100, reachable: true };
+}
+
+function setUp(...slots: number[]): void {
+    clock = new ManualClock();
+    serial = 0;
+    const random = createSeededRandom(1);
+    dispatcher = new Dispatcher({ clock, random, router: new Router({ clock, random, zone: "a" }) });
+    dispatcher.setTargets(slots.map((count, index) => createTarget(`t${index}`, count)));
+}
+
+function submit(changes: Partial<SubmittedCall> = {}): Submission {
+    const callId = changes.callId ?? `call-${serial++}`;
+    return dispatcher.submit({ callId, route: lookup, tenant, deadlineAt: clock.now() + 1_000, depth: 0, ...changes });
+}
+
+function complete(callId: string, target = "t0", changes: Partial<EndedAttempt> = {}): readonly DispatchEvent[] {
+    const answered = { latencyMs: 10, result: AttemptResult.Answered, load: undefined, draining: false };
+    return dispatcher.completed({ callId, target, ...answered, ...changes });
+}
+
+/** Runs calls one by one, so that run times are learned. */
+function learn(route: RouteRule, latencyMs: number, calls = 5): void {
+    for (let index = 0; index < calls; index++) {
+        const started = submit({ route });
+        clock.advance(latencyMs);
+        complete(started.callId, started.kind === DispatchKind.Start ? started.target.id : "", { latencyMs });
+    }
+}
+
+function startedIds(events: readonly DispatchEvent[]): string[] {
+    return events.filter(event => event.kind === DispatchKind.Start).map(event => event.callId);
+}
+
+function countStarts(submissions: readonly Submission[]): number {
+    return submissions.filter(({ kind }) => kind === DispatchKind.Start).length;
+}
+
+function times<Result>(count: number, action: (index: number) => Result): Result[] {
+    return Array.from({ length: count }, (_, index) => action(index));
+}
+
+describe("dispatcher", () => {
+    beforeEach(() => setUp(6));
+
+    describe("slots", () => {
+        it("starts no more calls than the target has slots, so that none queues inside the target", () => {
+            expect(countStarts(times(10, () => submit()))).toBe(6);
+        });
+
+        it("starts a waiting call as soon as a slot is free", () => {
+            const ids = times(7, () => submit().callId);
+            expect(startedIds(complete("call-0"))).toEqual([ids[6]]);
+        });
+
+        it("frees no slot for a completion that is reported twice", () => {
+            times(8, () => submit());
+            complete("call-0");
+            expect(complete("call-0")).toEqual([]);
+            expect(dispatcher.callsInFlight).toBe(6);
+        });
+
+        it("lowers the limit of a target that sheds, and raises it again", () => {
+            submit({ callId: "shed" });
+            complete("shed", "t0", { result: AttemptResult.Shed });
+            expect(dispatcher.limitOf(createTarget("t0", 6))).toBe(4);
+            learn(lookup, 5);
+            expect(dispatcher.limitOf(createTarget("t0", 6))).toBe(6);
+        });
+
+        it("leaves slots to other nodes whose calls the target reports", () => {
+            submit({ callId: "first" });
+            complete("first", "t0", { load: { calls: 5, slots: 6 } });
+            expect(countStarts(times(6, () => submit()))).toBeLessThan(4);
+        });
+    });
+
+    describe("long class", () => {
+        it("holds at most a third of a target, so that short calls find slots", () => {
+            expect(countStarts(times(6, () => submit({ route: history })))).toBe(2);
+            expect(countStarts(times(6, () => submit()))).toBe(4);
+        });
+
+        it("holds at most a third of a service whose targets have one or two slots each", () => {
+            setUp(1, 1, 1);
+            expect(countStarts(times(3, () => submit({ route: history })))).toBe(1);
+        });
+
+        it("contains a route that is declared short but runs long", () => {
+            learn(lookup, 5);
+            learn({ ...history, runTimeClass: RunTimeClass.Short }, 300);
+            const late = () => submit({ route: { ...history, runTimeClass: RunTimeClass.Short } });
+            expect(countStarts(times(6, late))).toBe(2);
+        });
+
+        it("is not starved by a queue of short calls", () => {
+            times(12, () => submit());
+            const long = submit({ route: history });
+            expect(startedIds(complete("call-0"))).toEqual([long.callId]);
+        });
+    });
+
+    describe("deadlines", () => {
+        it("refuses a call at once when its run time exceeds the time left", () => {
+            learn(lookup, 50);
+            const refused = submit({ deadlineAt: clock.now() + 30 });
+            expect(refused).toMatchObject({ kind: DispatchKind.Refused, reason: CallReason.DeadlinePassed });
+        });
+
+        it("refuses a call at once when its expected wait exceeds the time left", () => {
+            learn(lookup, 50);
+            times(30, () => submit());
+            const refused = submit({ deadlineAt: clock.now() + 150 });
+            expect(refused).toMatchObject({ kind: DispatchKind.Refused, reason: CallReason.Overloaded });
+        });
+
+        it("refuses a waiting call by the tick after its wait has run out, with a time to come back", () => {
+            times(7, () => submit());
+            clock.advance(600);
+            expect(dispatcher.tick()).toMatchObject([
+                { kind: DispatchKind.Refused, callId: "call-6", reason: CallReason.Overloaded },
+            ]);
+            expect(dispatcher.queuedCalls).toBe(0);
+        });
+    });
+
+    describe("order of waiting calls", () => {
+        beforeEach(() => times(6, () => submit()));
+
+        it("serves the higher priority first", () => {
+            submit({ callId: "low", route: { ...lookup, priority: 1 } });
+            submit({ callId: "high", route: { ...lookup, priority: 9 } });
+            expect(startedIds(complete("call-0"))).toEqual(["high"]);
+        });
+
+        it("serves a call below another call first, because refusing it wastes the work above it", () => {
+            submit({ callId: "top" });
+            submit({ callId: "below", depth: 2 });
+            expect(startedIds(complete("call-0"))).toEqual(["below"]);
+        });
+
+        it("shares between tenants by weight, so that one tenant's flood does not delay another", () => {
+            times(8, index => submit({ callId: `flood-${index}`, tenant: { ...tenant, name: "flood" } }));
+            times(4, index => submit({ callId: `heavy-${index}`, tenant: { ...tenant, name: "heavy", weight: 3 } }));
+            const served = times(4, index => startedIds(complete(`call-${index}`))).flat();
+            expect(served.filter(callId => callId.startsWith("heavy")).length).toBe(3);
+        });
+
+        it("is oldest first in a short burst and newest first under lasting overload", () => {
+            times(6, index => submit({ callId: `waiting-${index}` }));
+            expect(startedIds(complete("call-0"))).toEqual(["waiting-0"]);
+            clock.advance(150);
+            expect(startedIds(complete("call-1"))).toEqual(["waiting-5"]);
+        });
+
+        it("sheds the lowest priority when the queue is full, and the queue stays bounded", () => {
+            submit({ callId: "low", route: { ...lookup, priority: 1 } });
+            times(2_000, () => submit());
+            expect(dispatcher.queuedCalls).toBeLessThanOrEqual(512);
+            const refused = dispatcher.tick().filter(({ kind }) => kind === DispatchKind.Refused);
+            expect(refused[0]?.callId).toBe("low");
+        });
+    });
+
+    describe("rate limits", () => {
+        it.each([
+            { name: "tenant", changes: { tenant: { ...tenant, ratePerSecond: 2 } } },
+            { name: "route", changes: { route: { ...lookup, ratePerSecond: 2 } } },
+        ])("refuse calls beyond the rate of the $name and admit them again later", ({ changes }) => {
+            expect(countStarts(times(3, () => submit(changes)))).toBe(2);
+            expect(submit(changes)).toMatchObject({ reason: CallReason.RateLimited, retryAfterMs: 500 });
+            clock.advance(500);
+            expect(submit(changes).kind).toBe(DispatchKind.Start);
+        });
+    });
+
+    describe("further attempts", () => {
+        it("go to another target and hold a slot of their own", () => {
+            setUp(6, 6);
+            const first = submit({ callId: "call" });
+            const tried = first.kind === DispatchKind.Start ? first.target.id : "";
+            const again = dispatcher.chooseAgain({ callId: "call", exclude: [tried] });
+            expect(again).toMatchObject({ kind: DispatchKind.Start, target: { id: tried === "t0" ? "t1" : "t0" } });
+            expect(dispatcher.callsInFlight).toBe(2);
+        });
+
+        it("are refused after the call was answered, so that an answered call does not run again", () => {
+            setUp(6, 6);
+            const first = submit({ callId: "call" });
+            complete("call", first.kind === DispatchKind.Start ? first.target.id : "");
+            expect(dispatcher.chooseAgain({ callId: "call", exclude: [] }).kind).toBe(DispatchKind.Refused);
+        });
+    });
+
+    describe("cancelled calls", () => {
+        it("leave the queue and are not started for nobody", () => {
+            times(7, () => submit());
+            expect(dispatcher.cancel("call-6")).toBe(true);
+            expect(complete("call-0")).toEqual([]);
+        });
+    });
+
+    describe("service without targets", () => {
+        it("refuses with a time to come back instead of queueing", () => {
+            const refused = submit({ route: { ...lookup, to: "fans" } });
+            expect(refused).toMatchObject({ kind: DispatchKind.Refused, reason: CallReason.NoTarget });
+        });
+    });
+});
--- /dev/null
+++ b/coordination/routing/test/router.test.ts
@@ -0,0 +1,269 @@
+import { TargetState } from "@bilberrycroft/coordination.membership";
+import { AttemptResult, NoTargetReason, Router, TargetChoiceKind } from "@bilberrycroft/coordination.routing";
+import type { EndedAttempt, RoutingTarget, TargetRequest } from "@bilberrycroft/coordination.routing";
+import { ManualClock } from "@bilberrycroft/core.clock";
+import { createSeededRandom } from "@bilberrycroft/core.random";
+import { RunTimeClass } from "@bilberrycroft/state.rules";
+import { beforeEach, describe, expect, it } from "vitest";
+
+const usualMs = 4;
+let clock: ManualClock;
+let router: Router;
+let serial: number;
+
+beforeEach(() => {
+    clock = new ManualClock();
+    router = new Router({ clock, random: createSeededRandom(1), zone: "a" });
+    serial = 0;
+});
+
+function target(id: string, changes: Partial<RoutingTarget> = {}): RoutingTarget {
+    return {
+        id,
+        service: "readings",
+        address: `10.0.0.1:${id}`,
+        zone: "a",
+        state: TargetState.Ready,
+        slots: 6,
+        connections: 100,
+        reachable: true,
+        ...changes,
+    };
+}
+
+function choose(changes: Partial<TargetRequest> = {}): string {
+    const request = { service: "readings", runTimeClass: RunTimeClass.Short, exclude: [], trialAllowed: true };
+    const choice = router.choose({ ...request, ...changes });
+    return choice.kind === TargetChoiceKind.Chosen ? choice.target.id : choice.reason;
+}
+
+/** How often each target is chosen in a hundred choices. */
+function chooseOften(changes: Partial<TargetRequest> = {}): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (let index = 0; index < 100; index++) {
+        const id = choose(changes);
+        counts[id] = (counts[id] ?? 0) + 1;
+    }
+    return counts;
+}
+
+function begin(id: string): string {
+    const callId = `call-${serial++}`;
+    router.attemptStarted({ callId, target: id, runTimeClass: RunTimeClass.Short });
+    return callId;
+}
+
+function end(callId: string, id: string, changes: Partial<EndedAttempt> = {}): void {
+    const answered = { latencyMs: usualMs, result: AttemptResult.Answered, load: undefined, draining: false };
+    router.attemptEnded({ callId, target: id, ...answered, ...changes });
+}
+
+/** Runs calls on a target at a latency. */
+function run(id: string, calls: number, latencyMs = usualMs, changes: Partial<EndedAttempt> = {}): void {
+    for (let index = 0; index < calls; index++) {
+        const callId = begin(id);
+        clock.advance(latencyMs);
+        end(callId, id, { latencyMs, ...changes });
+    }
+}
+
+function fail(id: string, result: AttemptResult): void {
+    end(begin(id), id, { result, latencyMs: 0 });
+}
+
+function suspect(id: string): void {
+    begin(id);
+    clock.advance(4 * usualMs);
+    choose();
+}
+
+describe("router", () => {
+    describe("with no target to choose", () => {
+        it.each([
+            { name: "an unknown service", targets: [], reason: NoTargetReason.UnknownService },
+            { name: "a draining target", targets: [target("1", { state: TargetState.Draining })], reason: NoTargetReason.Leaving },
+            { name: "a target that is gone", targets: [target("1", { state: TargetState.Gone })], reason: NoTargetReason.Leaving },
+        ])("says so for $name, so that a leaving target never gets new work", ({ targets, reason }) => {
+            router.setTargets(targets);
+            expect(choose()).toBe(reason);
+        });
+
+        it("does not choose a target that the call has tried, which would repeat a failure", () => {
+            router.setTargets([target("1")]);
+            expect(choose({ exclude: ["1"] })).toBe(NoTargetReason.Tried);
+        });
+
+        it("reports a full target as busy, so that the call waits instead of failing", () => {
+            router.setTargets([target("1")]);
+            expect(choose({ hasRoom: () => false })).toBe(NoTargetReason.Busy);
+        });
+    });
+
+    describe("draining header", () => {
+        it("avoids the target at once, before membership has spread the announcement", () => {
+            router.setTargets([target("1"), target("2")]);
+            run("1", 1, usualMs, { draining: true });
+            router.setTargets([target("1"), target("2")]);
+            expect(chooseOften()).toEqual({ 2: 100 });
+        });
+    });
+
+    describe("stalled target", () => {
+        beforeEach(() => {
+            router.setTargets(["1", "2", "3", "4"].map(id => target(id)));
+            ["1", "2", "3", "4"].forEach(id => run(id, 20));
+        });
+
+        it("is avoided within a few times its usual latency, without waiting for an answer", () => {
+            begin("1");
+            clock.advance(4 * usualMs);
+            expect(chooseOften()["1"]).toBeUndefined();
+        });
+
+        it("is not suspected for one long call that later calls have overtaken", () => {
+            begin("1");
+            clock.advance(1);
+            run("1", 3);
+            clock.advance(4 * usualMs);
+            choose();
+            expect(router.view().find(view => view.id === "1")?.suspected).toBe(false);
+        });
+
+        it("stays suspected when the stalled call is cancelled, or hedging would hide the stall", () => {
+            const callId = begin("1");
+            clock.advance(10 * usualMs);
+            end(callId, "1", { result: AttemptResult.Cancelled, latencyMs: 10 * usualMs });
+            expect(chooseOften()["1"]).toBeUndefined();
+        });
+
+        it("gets one trial at a time and is used again after a trial in time", () => {
+            suspect("1");
+            clock.advance(100);
+            expect(choose()).toBe("1");
+            const trial = begin("1");
+            const onlyFirst = { exclude: ["2", "3", "4"] };
+            expect(chooseOften(onlyFirst)["1"]).toBeUndefined();
+            clock.advance(usualMs);
+            end(trial, "1");
+            expect(chooseOften(onlyFirst)).toEqual({ 1: 100 });
+        });
+
+        it("does not spend a call on a trial that may not be repeated", () => {
+            suspect("1");
+            clock.advance(100);
+            expect(chooseOften({ trialAllowed: false })["1"]).toBeUndefined();
+        });
+
+        it("is used by cost when more than half look stalled, so that the rest is not overloaded", () => {
+            ["1", "2", "3"].forEach(id => begin(id));
+            clock.advance(4 * usualMs);
+            const counts = chooseOften({ hasRoom: ({ id }) => id !== "4" });
+            expect(Object.keys(counts).sort()).toEqual(["1", "2", "3"]);
+        });
+    });
+
+    describe("refused connection", () => {
+        beforeEach(() => router.setTargets([target("1"), target("2")]));
+
+        it.each([AttemptResult.ConnectionRefused, AttemptResult.Broken])("excludes the target at once: %s", result => {
+            fail("1", result);
+            expect(chooseOften()).toEqual({ 2: 100 });
+        });
+
+        it("is tried again after a growing wait, not as often as calls arrive", () => {
+            const waits: number[] = [];
+            for (let round = 0; round < 4; round++) {
+                fail("1", AttemptResult.ConnectionRefused);
+                const since = clock.now();
+                while (choose({ exclude: ["2"] }) !== "1") {
+                    clock.advance(5);
+                }
+                waits.push(clock.now() - since);
+            }
+            expect(waits[0]).toBeGreaterThanOrEqual(50);
+            expect(waits[3]).toBeGreaterThan(3 * (waits[0] ?? 0));
+        });
+    });
+
+    describe("slow start", () => {
+        it("gives a new target a small share first, because its caches are cold", () => {
+            router.setTargets([target("1"), target("2")]);
+            ["1", "2"].forEach(id => run(id, 20));
+            router.setTargets([target("1"), target("2"), target("3")]);
+            expect(chooseOften()["3"]).toBeUndefined();
+            expect(router.rampOf("3")).toBeCloseTo(0.1);
+            clock.advance(5_000);
+            expect(router.rampOf("3")).toBe(1);
+        });
+
+        it("does not ramp the targets that are there when the node starts", () => {
+            router.setTargets([target("1")]);
+            expect(router.rampOf("1")).toBe(1);
+        });
+    });
+
+    describe("cost", () => {
+        it("prefers the own zone until its targets are slower than the distance", () => {
+            router.setTargets([target("1"), target("2", { zone: "b" })]);
+            router.distanceMeasured({ zone: "b", roundTripMs: 3 });
+            run("1", 20);
+            run("2", 20, usualMs + 3);
+            expect(chooseOften()).toEqual({ 1: 100 });
+            run("1", 10, usualMs + 6);
+            expect(chooseOften()).toEqual({ 2: 100 });
+        });
+
+        it("prefers the faster target", () => {
+            router.setTargets([target("1"), target("2")]);
+            run("1", 20, 20);
+            run("2", 20, 2);
+            expect(chooseOften()).toEqual({ 2: 100 });
+        });
+
+        it.each([
+            { name: "fresh report of a full target", calls: 6, ageMs: 0, chosen: "2" },
+            { name: "old report of a full target", calls: 6, ageMs: 1_000, chosen: undefined },
+        ])("discounts reports by age: $name", ({ calls, ageMs, chosen }) => {
+            router.setTargets([target("1"), target("2")]);
+            run("2", 20);
+            run("1", 20, usualMs, { load: { calls, slots: 6 } });
+            clock.advance(ageMs);
+            const counts = chooseOften();
+            expect(Object.keys(counts)).toEqual(chosen === undefined ? ["1", "2"] : [chosen]);
+        });
+
+        it("loses trust in a target that reports to be overfull and answers as fast as usual", () => {
+            router.setTargets([target("1")]);
+            run("1", 40, usualMs, { load: { calls: 24, slots: 6 } });
+            expect(router.othersInTarget("1")).toBeLessThan(0.5);
+        });
+    });
+
+    describe("unreachable target", () => {
+        it("is used only while no target is reachable", () => {
+            router.setTargets([target("1", { reachable: false }), target("2")]);
+            expect(chooseOften()).toEqual({ 2: 100 });
+            router.setTargets([target("1", { reachable: false })]);
+            expect(choose()).toBe("1");
+        });
+    });
+
+    describe("connection share", () => {
+        it("holds, so that many nodes together stay below the target's limit", () => {
+            router.setTargets([target("1", { connections: 4 })]);
+            router.setCallers(2, 0);
+            begin("1");
+            expect(choose()).toBe("1");
+            begin("1");
+            expect(choose()).toBe(NoTargetReason.Busy);
+        });
+
+        it("is lent to a target outside the subset while the whole subset is unusable", () => {
+            router.setTargets([target("1", { connections: 1 }), target("2", { connections: 1 })]);
+            router.setCallers(2, 0);
+            const inSubset = choose();
+            fail(inSubset, AttemptResult.ConnectionRefused);
+            expect(choose()).toBe(inSubset === "1" ? "2" : "1");
+        });
+    });
+});
