--- a/coordination/draining/src/index.ts
+++ b/coordination/draining/src/index.ts
@@ -1,1 +1,5 @@
-export {};
+/**
+ * Steps of a planned stop.
+ */
+export * from "./draining";
+export * from "./types";
