--- a/standins/store/src/index.ts
+++ b/standins/store/src/index.ts
@@ -1,2 +1,3 @@
+export * from "./commandLine";
 export * from "./program";
 export * from "./server";
--- a/standins/store/src/main.ts
+++ b/standins/store/src/main.ts
@@ -2,13 +2,16 @@
  * Entry point of `bilberrycroft-store`. SIGTERM and SIGINT end it with code 0.
  */
 import { createLogger } from "@bilberrycroft/core.logger";
-import { parseStoreCommand, runStoreStandin, StoreCommandKind, type StoreSettings } from "./program";
+import { CommandLineKind } from "./commandLine";
+import { parseStoreCommand, type StoreSettings } from "./program";
+import { startStoreStandin } from "./server";
 
 const usageExitCode = 2;
 const logger = createLogger("store");
 
 async function run(settings: StoreSettings): Promise<void> {
-    const standin = await runStoreStandin(settings);
+    const standin = await startStoreStandin(settings);
+    logger.info("Listening.", { address: standin.address });
     const stop = (): void => {
         logger.info("Stopping.");
         void standin.close();
@@ -19,13 +22,13 @@
 
 const command = parseStoreCommand(process.argv);
 switch (command.kind) {
-    case StoreCommandKind.Printed:
+    case CommandLineKind.Printed:
         break;
-    case StoreCommandKind.Refused:
+    case CommandLineKind.Refused:
         command.problems.forEach(problem => logger.error(problem));
         process.exitCode = usageExitCode;
         break;
-    case StoreCommandKind.Run:
+    case CommandLineKind.Run:
         run(command.settings).catch((error: Error) => {
             logger.error(error.message);
             process.exitCode = usageExitCode;
--- a/standins/store/test/standin.test.ts
+++ b/standins/store/test/standin.test.ts
@@ -1,7 +1,7 @@
 import { maxObjectBytes, StoreOutcomeKind, WriteConditionKind } from "@bilberrycroft/protocol.store";
 import { HttpStore } from "@bilberrycroft/transport.store";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { parseStoreCommand, startStoreStandin, StoreCommandKind, type StoreStandin } from "../src";
+import { CommandLineKind, parseStoreCommand, startStoreStandin, type StoreStandin } from "../src";
 
 describe("store stand-in", () => {
     describe("HTTP API", () => {
@@ -73,7 +73,7 @@
 
         it("takes flags over defaults", () => {
             expect(parse("--port", "0", "--max-connections", "9")).toEqual({
-                kind: StoreCommandKind.Run,
+                kind: CommandLineKind.Run,
                 settings: { host: "127.0.0.1", port: 0, maxConnections: 9 },
             });
         });
@@ -81,7 +81,7 @@
         it.each([["--port", "x"], ["--prot", "1"], ["--settings", "/does/not/exist.yaml"], ["--port", "70000"], ["start", ""]])(
             "refuses %s %s before it listens",
             (...flags) => {
-                expect(parse(...flags).kind).toBe(StoreCommandKind.Refused);
+                expect(parse(...flags).kind).toBe(CommandLineKind.Refused);
             },
         );
     });
