--- a/standins/target/src/index.ts
+++ b/standins/target/src/index.ts
@@ -1,1 +1,8 @@
-export {};
+export { type Announcement, announceIntervalMs } from "./announcer";
+export { requestIdHeader } from "./call";
+export { crashHeader, type TargetFault, targetFaultSchema } from "./faults";
+export { innerCallHeader } from "./innerCalls";
+export type { TargetCounters } from "./ledger";
+export * from "./program";
+export * from "./settings";
+export * from "./target";
