--- /dev/null
+++ b/cli/operator/src/applying.ts
@@ -0,0 +1,323 @@
+/**
+ * Makes a new version of the configuration by conditional update. A lost response is resolved by reading back: an
+ * update never takes effect twice and is never reported as failed after it took effect.
+ */
+import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
+import {
+    configurationHistoryKey,
+    currentConfigurationKey,
+    maxObjectBytes,
+    type Store,
+    StoreOutcomeKind,
+    type WriteCondition,
+    WriteConditionKind,
+} from "@bilberrycroft/protocol.store";
+import {
+    parseRules,
+    type RuleChange,
+    RuleParseKind,
+    type RuleProblem,
+    RuleProblemCode,
+    type RuleSet,
+    compareRules,
+} from "@bilberrycroft/state.rules";
+import { createSnapshot, type Snapshot } from "@bilberrycroft/state.snapshots";
+import { type ConflictReport, describeConflict } from "./conflicts";
+import {
+    type BrokenRecord,
+    type FoundRecord,
+    listArchivedVersions,
+    readArchived,
+    readCurrent,
+    RecordOutcomeKind,
+    type UnavailableRecord,
+} from "./records";
+
+/** Writes of one update; each is followed by a read. */
+const maxWriteAttempts = 4;
+const retryDelayMs = 500;
+
+/** What the commands that change the configuration work with. */
+export interface OperatorContext {
+    readonly store: Store;
+    readonly clock: Clock;
+    /** Recorded as the author of new versions. */
+    readonly operator: string;
+    /** A new identifier for each update. */
+    createChangeId(): string;
+    sleep(duration: Milliseconds): Promise<void>;
+}
+
+/** One requested update. */
+export interface ApplyRequest {
+    readonly text: string;
+    /** Version that the operator read; by default the one accepted when the command starts. */
+    readonly base?: number;
+}
+
+/** Kinds of `ApplyOutcome`. */
+export enum ApplyOutcomeKind {
+    Applied = "applied",
+    /** The accepted version has this text already. */
+    Unchanged = "unchanged",
+    Refused = "refused",
+    Conflict = "conflict",
+    StoreUnavailable = "store unavailable",
+    BrokenRecord = "broken record",
+    /** The update may have taken effect. */
+    Unknown = "unknown",
+}
+
+/** The update took effect. */
+export interface AppliedUpdate {
+    readonly kind: ApplyOutcomeKind.Applied;
+    readonly snapshot: Snapshot;
+    readonly changes: readonly RuleChange[];
+    /** A later version that another operator applied in the meantime. */
+    readonly supersededBy: number | undefined;
+}
+
+/** Result of an update. */
+export type ApplyOutcome =
+    | AppliedUpdate
+    | { readonly kind: ApplyOutcomeKind.Unchanged; readonly snapshot: Snapshot }
+    | { readonly kind: ApplyOutcomeKind.Refused; readonly problems: readonly RuleProblem[] }
+    | { readonly kind: ApplyOutcomeKind.Conflict; readonly conflict: ConflictReport }
+    | { readonly kind: ApplyOutcomeKind.StoreUnavailable; readonly reason: string }
+    | { readonly kind: ApplyOutcomeKind.BrokenRecord; readonly key: string; readonly reason: string }
+    | {
+        readonly kind: ApplyOutcomeKind.Unknown;
+        readonly version: number;
+        readonly changeId: string;
+        readonly reason: string;
+    };
+
+/** What an update replaces. */
+interface Base {
+    readonly kind: RecordOutcomeKind.Found;
+    readonly record: FoundRecord | undefined;
+    readonly version: number;
+    readonly nextVersion: number;
+}
+
+interface Update {
+    readonly base: Base;
+    readonly next: Snapshot;
+    readonly value: string;
+    readonly rules: RuleSet;
+}
+
+enum ReadBackKind {
+    Own = "own",
+    Other = "other",
+    NotThere = "not there",
+    Unreadable = "unreadable",
+}
+
+type ReadBack =
+    | { readonly kind: ReadBackKind.Own; readonly supersededBy: number | undefined }
+    | { readonly kind: ReadBackKind.Other; readonly current: Snapshot }
+    | { readonly kind: ReadBackKind.NotThere }
+    | { readonly kind: ReadBackKind.Unreadable; readonly reason: string };
+
+/** Checks the rules and makes them the next version. */
+export async function applyRules(context: OperatorContext, request: ApplyRequest): Promise<ApplyOutcome> {
+    const parse = parseRules(request.text);
+    if (parse.kind === RuleParseKind.Refused) {
+        return { kind: ApplyOutcomeKind.Refused, problems: parse.problems };
+    }
+    const base = await readBase(context.store);
+    if (base.kind !== RecordOutcomeKind.Found) {
+        return toFailure(base);
+    }
+    const snapshot = base.record?.snapshot;
+    // Checked before the base, so that repeating a command whose outcome was unknown does not conflict with itself.
+    if (snapshot?.text === request.text) {
+        return { kind: ApplyOutcomeKind.Unchanged, snapshot };
+    }
+    if (request.base !== undefined && request.base !== base.version) {
+        const details = { baseVersion: request.base, base: undefined, current: snapshot, own: parse.rules };
+        return { kind: ApplyOutcomeKind.Conflict, conflict: await describeConflict(context.store, details) };
+    }
+    const next = createSnapshot({
+        version: base.nextVersion,
+        parent: base.version,
+        text: request.text,
+        changeId: context.createChangeId(),
+        operator: context.operator,
+        acceptedAt: context.clock.wallTime(),
+    });
+    const update: Update = { base, next, value: JSON.stringify(next), rules: parse.rules };
+    const bytes = Buffer.byteLength(update.value);
+    if (bytes > maxObjectBytes) {
+        return { kind: ApplyOutcomeKind.Refused, problems: [describeOversize(bytes)] };
+    }
+    return await archiveBase(context, base.record) ?? commitUpdate(context, update);
+}
+
+/** A text may fit while its JSON encoding, in which line ends and quotes take two bytes, does not. */
+function describeOversize(bytes: number): RuleProblem {
+    return {
+        code: RuleProblemCode.TooLarge,
+        line: 1,
+        column: 1,
+        reason: `the encoded snapshot has ${bytes} bytes; the store takes at most ${maxObjectBytes}`,
+        hint: "Remove rules or shorten their comments.",
+        requester: undefined,
+    };
+}
+
+/** Outcome of a command that could not read a snapshot. */
+export function toFailure(read: BrokenRecord | UnavailableRecord): ApplyOutcome {
+    return read.kind === RecordOutcomeKind.Broken
+        ? { kind: ApplyOutcomeKind.BrokenRecord, key: read.key, reason: read.reason }
+        : { kind: ApplyOutcomeKind.StoreUnavailable, reason: read.reason };
+}
+
+/** If the accepted snapshot was deleted, numbering continues above it, so that nodes never see a number twice. */
+async function readBase(store: Store): Promise<Base | BrokenRecord | UnavailableRecord> {
+    const read = await readCurrent(store);
+    if (read.kind === RecordOutcomeKind.Found) {
+        const { version } = read.snapshot;
+        return { kind: RecordOutcomeKind.Found, record: read, version, nextVersion: version + 1 };
+    }
+    if (read.kind !== RecordOutcomeKind.Absent) {
+        return read;
+    }
+    const archived = await listArchivedVersions(store);
+    if (archived.kind !== RecordOutcomeKind.Found) {
+        return archived;
+    }
+    const newest = archived.versions.at(-1) ?? 0;
+    // The deleted snapshot had the number after the newest archived one.
+    const nextVersion = newest === 0 ? 1 : newest + 2;
+    return { kind: RecordOutcomeKind.Found, record: undefined, version: newest, nextVersion };
+}
+
+/** Archives the snapshot that is about to be replaced; `undefined` if it is archived. */
+async function archiveBase(
+    context: OperatorContext,
+    record: FoundRecord | undefined,
+): Promise<ApplyOutcome | undefined> {
+    if (record === undefined) {
+        return undefined;
+    }
+    const key = configurationHistoryKey(record.snapshot.version);
+    let reason = "";
+    for (let attempt = 0; attempt < maxWriteAttempts; attempt++) {
+        const written = await context.store.write(key, record.object.value, { kind: WriteConditionKind.Absent });
+        switch (written.kind) {
+            case StoreOutcomeKind.Done:
+                return undefined;
+            case StoreOutcomeKind.Conflict:
+                return await checkArchived(context.store, key, record.snapshot);
+            case StoreOutcomeKind.Unavailable:
+                return { kind: ApplyOutcomeKind.StoreUnavailable, reason: written.reason };
+            case StoreOutcomeKind.Unknown:
+                reason = written.reason;
+                await context.sleep(retryDelayMs);
+        }
+    }
+    return { kind: ApplyOutcomeKind.StoreUnavailable, reason };
+}
+
+async function checkArchived(store: Store, key: string, expected: Snapshot): Promise<ApplyOutcome | undefined> {
+    const read = await readArchived(store, expected.version);
+    switch (read.kind) {
+        case RecordOutcomeKind.Found:
+            return read.snapshot.digest === expected.digest
+                ? undefined
+                : { kind: ApplyOutcomeKind.BrokenRecord, key, reason: "it holds another snapshot of this version" };
+        case RecordOutcomeKind.Absent:
+            return { kind: ApplyOutcomeKind.BrokenRecord, key, reason: "the archived snapshot was removed" };
+        default:
+            return toFailure(read);
+    }
+}
+
+/**
+ * Writes until the outcome is known. Repeating the write is safe: its condition names the replaced revision, which the
+ * store never uses again, so at most one of the attempts takes effect.
+ */
+async function commitUpdate(context: OperatorContext, update: Update): Promise<ApplyOutcome> {
+    const { store } = context;
+    const condition = toCondition(update.base.record);
+    let mayHaveTakenEffect = false;
+    let reason = "";
+    for (let attempt = 0; attempt < maxWriteAttempts; attempt++) {
+        const written = await store.write(currentConfigurationKey, update.value, condition);
+        if (written.kind === StoreOutcomeKind.Done) {
+            return describeApplied(update, undefined);
+        }
+        if (written.kind === StoreOutcomeKind.Unavailable && !mayHaveTakenEffect) {
+            return { kind: ApplyOutcomeKind.StoreUnavailable, reason: written.reason };
+        }
+        mayHaveTakenEffect ||= written.kind === StoreOutcomeKind.Unknown;
+        reason = "reason" in written ? written.reason : reason;
+        const found = await readBack(store, update.next);
+        if (found.kind === ReadBackKind.Own) {
+            return describeApplied(update, found.supersededBy);
+        }
+        const lostRace = written.kind === StoreOutcomeKind.Conflict && !mayHaveTakenEffect;
+        if (found.kind === ReadBackKind.Other || lostRace) {
+            return await describeLostRace(store, update, found);
+        }
+        reason = found.kind === ReadBackKind.Unreadable ? found.reason : reason;
+        await context.sleep(retryDelayMs);
+    }
+    const { version, changeId } = update.next;
+    return { kind: ApplyOutcomeKind.Unknown, version, changeId, reason };
+}
+
+function toCondition(replaced: FoundRecord | undefined): WriteCondition {
+    return replaced === undefined
+        ? { kind: WriteConditionKind.Absent }
+        : { kind: WriteConditionKind.Revision, revision: replaced.object.revision };
+}
+
+/** Looks for the own change in the accepted snapshot and, if that is newer, in the archive. */
+async function readBack(store: Store, next: Snapshot): Promise<ReadBack> {
+    const read = await readCurrent(store);
+    if (read.kind === RecordOutcomeKind.Absent) {
+        return { kind: ReadBackKind.NotThere };
+    }
+    if (read.kind !== RecordOutcomeKind.Found) {
+        return { kind: ReadBackKind.Unreadable, reason: read.reason };
+    }
+    const current = read.snapshot;
+    if (current.changeId === next.changeId) {
+        return { kind: ReadBackKind.Own, supersededBy: undefined };
+    }
+    if (current.version <= next.version) {
+        const replaced = current.version === next.version;
+        return replaced ? { kind: ReadBackKind.Other, current } : { kind: ReadBackKind.NotThere };
+    }
+    const archived = await readArchived(store, next.version);
+    if (archived.kind !== RecordOutcomeKind.Found) {
+        const reason = archived.kind === RecordOutcomeKind.Absent ? "the archive lacks this version" : archived.reason;
+        return { kind: ReadBackKind.Unreadable, reason };
+    }
+    return archived.snapshot.changeId === next.changeId
+        ? { kind: ReadBackKind.Own, supersededBy: current.version }
+        : { kind: ReadBackKind.Other, current };
+}
+
+function describeApplied(update: Update, supersededBy: number | undefined): AppliedUpdate {
+    const before = parseRules(update.base.record?.snapshot.text ?? "");
+    return {
+        kind: ApplyOutcomeKind.Applied,
+        snapshot: update.next,
+        changes: before.kind === RuleParseKind.Accepted ? compareRules(before.rules, update.rules) : [],
+        supersededBy,
+    };
+}
+
+async function describeLostRace(store: Store, update: Update, found: ReadBack): Promise<ApplyOutcome> {
+    const conflict = await describeConflict(store, {
+        baseVersion: update.base.version,
+        base: update.base.record?.snapshot,
+        current: found.kind === ReadBackKind.Other ? found.current : undefined,
+        own: update.rules,
+    });
+    return { kind: ApplyOutcomeKind.Conflict, conflict };
+}
--- /dev/null
+++ b/cli/operator/src/commandLine.ts
@@ -0,0 +1,237 @@
+/**
+ * The command line of `bilberrycroft`: reads arguments and settings, runs one command and prints its result.
+ */
+import { type CAC, cac } from "cac";
+import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
+import { SettingsOutcomeKind } from "@bilberrycroft/core.settings";
+import type { Store } from "@bilberrycroft/protocol.store";
+import { applyRules, type OperatorContext } from "./applying";
+import {
+    checkFile,
+    diffFile,
+    findAwaitedSnapshot,
+    listHistory,
+    reportUpdate,
+    type RulesFile,
+    showVersion,
+} from "./configurationCommands";
+import { toPrintable } from "./formatting";
+import type { NodeClient } from "./nodeClient";
+import { drainNode, explain, listNodes, reportWait, showMetrics, showStatus } from "./nodeCommands";
+import { type CommandResult, ExitCode, UsageProblem } from "./results";
+import { type OperatorSettings, resolveSettings } from "./settings";
+import { undoVersion, type UndoOutcome } from "./undoing";
+import { waitForVersion } from "./waiting";
+
+/** Versions that `history` lists by default. */
+const defaultHistoryLimit = 20;
+const millisecondsPerSecond = 1_000;
+
+/** Everything outside the process that a command uses. */
+export interface CommandEnvironment {
+    readonly clock: Clock;
+    /** Aborted by an interrupt of the operator. */
+    readonly signal: AbortSignal;
+    /** Throws a `UsageProblem` if the address cannot be used. */
+    connectStore(address: string): Store;
+    /** Throws a `UsageProblem` if the address cannot be used. */
+    connectNode(address: string): NodeClient;
+    /** Reads a file as UTF-8; throws if it cannot. */
+    readText(file: string): string;
+    createChangeId(): string;
+    sleep(duration: Milliseconds): Promise<void>;
+    print(text: string): void;
+    printError(text: string): void;
+}
+
+/** Options as the argument parser returns them. */
+type Options = Readonly<Record<string, unknown>>;
+type Action = (session: Session, options: Options, argument: string | undefined) => Promise<CommandResult>;
+
+/** Environment and settings of one command. */
+interface Session {
+    readonly environment: CommandEnvironment;
+    readonly settings: OperatorSettings;
+}
+
+/** Runs one command and returns its exit code. */
+export async function runCommandLine(argv: readonly string[], environment: CommandEnvironment): Promise<ExitCode> {
+    const cli = defineCommands(environment);
+    try {
+        cli.parse(["node", "bilberrycroft", ...argv], { run: false });
+        if (cli.options.help === true) {
+            return ExitCode.Done;
+        }
+        if (cli.matchedCommand === undefined) {
+            cli.outputHelp();
+            throw new UsageProblem(argv.length === 0 ? "name a command" : `unknown command ${String(cli.args[0] ?? "")}`);
+        }
+        const result = await (cli.runMatchedCommand() as Promise<CommandResult>);
+        const text = cli.options.json === true ? JSON.stringify(result.data, undefined, 2) : result.lines.join("\n");
+        environment.print(cli.options.json === true ? text : toPrintable(text));
+        return result.exitCode;
+    }
+    catch (error) {
+        if (error instanceof UsageProblem || (error instanceof Error && error.name === "CACError")) {
+            environment.printError(toPrintable(`bilberrycroft: ${error.message}`));
+            return ExitCode.Usage;
+        }
+        throw error;
+    }
+}
+
+function defineCommands(environment: CommandEnvironment): CAC {
+    const cli = cac("bilberrycroft");
+    cli.option("--settings <file>", "Settings file; bilberrycroft.yaml if it exists");
+    cli.option("--store <address>", "Address of the platform store");
+    cli.option("--node <address>", "Control address of a node to ask; may be repeated");
+    cli.option("--operator <name>", "Your name, recorded with each version");
+    cli.option("--json", "Print JSON");
+    const define = (usage: string, description: string, action: Action) =>
+        cli.command(usage, description).action((...parameters: readonly unknown[]) => {
+            const options = parameters.at(-1) as Options;
+            const argument = parameters.length > 1 ? parameters[0] : undefined;
+            const session = openSession(environment, options);
+            return action(session, options, argument === undefined ? undefined : String(argument));
+        });
+    define("check <file>", "Check a rules file without applying it", async (session, _options, file) =>
+        checkFile(readRulesFile(session, file)));
+    define("diff <file>", "Show which rules a file would change", (session, _options, file) =>
+        diffFile(openStore(session), readRulesFile(session, file)));
+    define("apply <file>", "Make a rules file the next version", applyFile)
+        .option("--base <version>", "Refuse if another version is accepted by now")
+        .option("--wait", "Wait until the version is in force")
+        .option("--wait-seconds <seconds>", "How long to wait");
+    define("undo [version]", "Make a new version with the content of an older one", undo)
+        .option("--wait", "Wait until the version is in force")
+        .option("--wait-seconds <seconds>", "How long to wait");
+    define("history [version]", "List versions, or print the text of one", (session, options, version) =>
+        version === undefined
+            ? listHistory(openStore(session), readWholeNumber("--limit", options.limit) ?? defaultHistoryLimit)
+            : showVersion(openStore(session), requireWholeNumber("version", version)))
+        .option("--limit <versions>", `Number of versions, ${defaultHistoryLimit} by default`);
+    defineNodeCommands(define);
+    cli.help();
+    return cli;
+}
+
+function defineNodeCommands(define: (usage: string, description: string, action: Action) => unknown): void {
+    define("status", "Show where the accepted version is in force", session =>
+        showStatus(openStore(session), connectNodes(session)));
+    define("nodes", "List the nodes that were heard of", session =>
+        listNodes(openStore(session), connectNodes(session)));
+    define("explain <rule>", "Show origin and reach of a rule: a name, \"kind name\" or a path", (session, _options, rule) =>
+        explain(openStore(session), connectNodes(session), rule ?? ""));
+    define("metrics [address]", "Print the metrics of nodes", (session, _options, address) =>
+        showMetrics(address === undefined ? connectNodes(session) : [session.environment.connectNode(address)]));
+    define("drain <node>", "Stop a node gracefully: a control address, node or host", (session, _options, target = "") => {
+        const nodes = target.includes(":") ? [] : connectNodes(session);
+        return drainNode(nodes, target, address => session.environment.connectNode(address));
+    });
+}
+
+async function applyFile(session: Session, options: Options, file: string | undefined): Promise<CommandResult> {
+    const { name, text } = readRulesFile(session, file);
+    const base = readWholeNumber("--base", options.base);
+    return await update(session, options, name, context => applyRules(context, { text, base }));
+}
+
+async function undo(session: Session, options: Options, version: string | undefined): Promise<CommandResult> {
+    const restored = version === undefined ? undefined : requireWholeNumber("version", version);
+    const name = restored === undefined ? "previous version" : `version ${restored}`;
+    return await update(session, options, name, context => undoVersion(context, restored));
+}
+
+async function update(
+    session: Session,
+    options: Options,
+    name: string,
+    run: (context: OperatorContext) => Promise<UndoOutcome>,
+): Promise<CommandResult> {
+    const { environment, settings } = session;
+    const context = createContext(session);
+    // Connected before anything is applied, so that missing settings are reported first.
+    const nodes = options.wait === true ? connectNodes(session) : [];
+    const outcome = await run(context);
+    const result = reportUpdate(name, outcome);
+    const snapshot = findAwaitedSnapshot(outcome);
+    if (options.wait !== true || snapshot === undefined) {
+        return result;
+    }
+    const waited = await waitForVersion({
+        head: { version: snapshot.version, digest: snapshot.digest },
+        nodes,
+        clock: environment.clock,
+        waitMs: settings.waitSeconds * millisecondsPerSecond,
+        sleep: duration => environment.sleep(duration),
+        signal: environment.signal,
+    });
+    return reportWait(result, snapshot.version, waited);
+}
+
+function openSession(environment: CommandEnvironment, options: Options): Session {
+    const nodes = options.node === undefined ? [] : [options.node].flat().map(String);
+    const resolved = resolveSettings({
+        settings: readText(options.settings),
+        store: readText(options.store),
+        nodes,
+        operator: readText(options.operator),
+        waitSeconds: options.waitSeconds === undefined ? undefined : Number(options.waitSeconds),
+    });
+    if (resolved.kind === SettingsOutcomeKind.Refused) {
+        throw new UsageProblem(`settings are refused\n${resolved.lines.join("\n")}`);
+    }
+    return { environment, settings: resolved.settings };
+}
+
+function createContext(session: Session): OperatorContext {
+    const { environment, settings } = session;
+    if (settings.operator === undefined) {
+        throw new UsageProblem("name yourself with \"operator\" in the settings or --operator");
+    }
+    return {
+        store: openStore(session),
+        clock: environment.clock,
+        operator: settings.operator,
+        createChangeId: () => environment.createChangeId(),
+        sleep: duration => environment.sleep(duration),
+    };
+}
+
+function openStore({ environment, settings }: Session): Store {
+    if (settings.store === undefined) {
+        throw new UsageProblem("name the store with \"store\" in the settings or --store");
+    }
+    return environment.connectStore(settings.store);
+}
+
+function connectNodes({ environment, settings }: Session): readonly NodeClient[] {
+    if (settings.nodes.length === 0) {
+        throw new UsageProblem("name nodes to ask with \"nodes\" in the settings or --node");
+    }
+    return settings.nodes.map(address => environment.connectNode(address));
+}
+
+function readRulesFile({ environment }: Session, file = ""): RulesFile {
+    try {
+        return { name: file, text: environment.readText(file) };
+    }
+    catch (error) {
+        throw new UsageProblem(`cannot read ${file}: ${error instanceof Error ? error.message : String(error)}`);
+    }
+}
+
+function readText(option: unknown): string | undefined {
+    return option === undefined ? undefined : String(option);
+}
+
+function readWholeNumber(name: string, option: unknown): number | undefined {
+    return option === undefined ? undefined : requireWholeNumber(name, String(option));
+}
+
+function requireWholeNumber(name: string, text: string): number {
+    if (!/^[0-9]{1,15}$/.test(text)) {
+        throw new UsageProblem(`${name} must be a whole number, not "${text}"`);
+    }
+    return Number(text);
+}
--- a/cli/operator/src/index.ts
+++ b/cli/operator/src/index.ts
@@ -1,1 +1,15 @@
-export {};
+/**
+ * The operators' client as a library: commands on the store and on nodes, with outcomes as values.
+ */
+export * from "./applying";
+export * from "./commandLine";
+export * from "./conflicts";
+export * from "./explaining";
+export * from "./history";
+export * from "./nodeClient";
+export * from "./records";
+export * from "./results";
+export * from "./settings";
+export * from "./statusView";
+export * from "./undoing";
+export * from "./waiting";
--- a/cli/operator/src/main.ts
+++ b/cli/operator/src/main.ts
@@ -1,2 +1,46 @@
-/** Entry point; the program is not written yet. */
-process.exitCode = 2;
+/** Entry point of the operators' client. */
+import { randomUUID } from "node:crypto";
+import { readFileSync } from "node:fs";
+import { setTimeout as sleep } from "node:timers/promises";
+import { SystemClock } from "@bilberrycroft/core.clock";
+import { runCommandLine } from "./commandLine";
+import { UsageProblem } from "./results";
+
+const interrupt = new AbortController();
+// A second interrupt ends the process at once.
+process.once("SIGINT", () => interrupt.abort());
+
+// A reader such as "head" may close the pipe early; the exit code still tells how the command ended.
+process.stdout.on("error", (error: NodeJS.ErrnoException) => {
+    if (error.code !== "EPIPE") {
+        throw error;
+    }
+});
+
+/** Refuses bytes that are not UTF-8: a replacement character would be applied in their place. */
+function readText(file: string): string {
+    return new TextDecoder("utf-8", { fatal: true }).decode(readFileSync(file));
+}
+
+function reportMissingTransport(part: string): never {
+    throw new UsageProblem(`this build has no ${part}`);
+}
+
+process.exitCode = await runCommandLine(process.argv.slice(2), {
+    clock: new SystemClock(),
+    signal: interrupt.signal,
+    connectStore: () => reportMissingTransport("store client"),
+    connectNode: () => reportMissingTransport("control client"),
+    readText,
+    createChangeId: randomUUID,
+    sleep: async duration => {
+        await sleep(duration);
+    },
+    print: text => process.stdout.write(`${text}\n`),
+    printError: text => process.stderr.write(`${text}\n`),
+});
+
+if (interrupt.signal.aborted) {
+    // Questions to nodes may still be open; the operator does not wait for their timeouts.
+    process.exit();
+}
--- /dev/null
+++ b/cli/operator/test/applying.test.ts
@@ -0,0 +1,269 @@
+import fc from "fast-check";
+import { beforeEach, describe, expect, it } from "vitest";
+import { ManualClock } from "@bilberrycroft/core.clock";
+import { configurationHistoryKey, currentConfigurationKey } from "@bilberrycroft/protocol.store";
+import type { Snapshot } from "@bilberrycroft/state.snapshots";
+import { ApplyOutcomeKind, applyRules, type OperatorContext, undoVersion, UndoOutcomeKind } from "../src/index";
+import { Fault, FakeStore } from "./fakeStore";
+
+const current = `write ${currentConfigurationKey}`;
+const readCurrent = `read ${currentConfigurationKey}`;
+const texts = ["service a # Aiko", "service a slots=2 # Ken", "service a # Aiko\nservice b # Mao", "service c # Yui"];
+
+let store: FakeStore;
+let changes: number;
+
+function operator(name: string): OperatorContext {
+    const createChangeId = (): string => `${name}-${++changes}`;
+    return { store, clock: new ManualClock(), operator: name, createChangeId, sleep: async () => undefined };
+}
+
+async function apply(name: string, text: string | undefined, base?: number) {
+    return await applyRules(operator(name), { text: text ?? "", base });
+}
+
+function accepted(): Snapshot {
+    return JSON.parse(store.objects.get(currentConfigurationKey)?.value ?? "{}") as Snapshot;
+}
+
+/** Every version that took effect, archived or accepted. */
+function versions(): readonly Snapshot[] {
+    const all = [...store.objects.values()].map(object => JSON.parse(object.value) as Snapshot);
+    return [...new Map(all.map(snapshot => [snapshot.version, snapshot])).values()];
+}
+
+/** Fails the calls of one kind in turn; `undefined` lets a call pass. */
+function failCalls(call: string, ...faults: readonly (Fault | undefined)[]): void {
+    const remaining = [...faults];
+    store.onCall = made => made === call ? remaining.shift() : undefined;
+}
+
+/** Runs `action` before the nth call of one kind. */
+function interleave(call: string, nth: number, action: () => Promise<unknown>, fault?: Fault): void {
+    let seen = 0;
+    store.onCall = async made => {
+        if (made !== call || ++seen !== nth) {
+            return undefined;
+        }
+        store.onCall = () => undefined;
+        await action();
+        return fault;
+    };
+}
+
+beforeEach(() => {
+    store = new FakeStore();
+    changes = 0;
+});
+
+describe("applyRules", () => {
+    it("numbers versions, records author and parent, and archives what it replaces letter by letter", async () => {
+        await apply("mao", texts[0]);
+        const first = store.objects.get(currentConfigurationKey)?.value;
+        expect(accepted()).toMatchObject({ version: 1, parent: 0, operator: "mao", changeId: "mao-1" });
+        const outcome = await apply("ken", texts[1], 1);
+        expect(outcome).toMatchObject({ kind: ApplyOutcomeKind.Applied, changes: [{ name: "a", requester: "Ken" }] });
+        expect(accepted()).toMatchObject({ version: 2, parent: 1, operator: "ken" });
+        expect(store.objects.get(configurationHistoryKey(1))?.value).toBe(first);
+    });
+
+    it("does not call the store for rules that are refused", async () => {
+        expect(await apply("mao", "service a")).toMatchObject({ kind: ApplyOutcomeKind.Refused, problems: [{ line: 1 }] });
+        expect(store.calls).toEqual([]);
+    });
+
+    it("refuses a text whose JSON encoding exceeds what the store takes", async () => {
+        const quotes = `service a # Aiko: ${"\"".repeat(899_000)}`;
+        expect((await apply("mao", quotes)).kind).toBe(ApplyOutcomeKind.Refused);
+        expect(store.objects.size).toBe(0);
+    });
+
+    it("makes no version for a text that is accepted already, whatever the base", async () => {
+        await apply("mao", texts[0]);
+        expect((await apply("ken", texts[0], 0)).kind).toBe(ApplyOutcomeKind.Unchanged);
+        expect(accepted().version).toBe(1);
+    });
+
+    describe("racing operators", () => {
+        it("shows the loser which rules changed, by whom and who requested them", async () => {
+            await apply("mao", texts[0]);
+            interleave(current, 1, () => apply("ken", texts[1]));
+            const outcome = await apply("yui", `${texts[0]}\nservice z # Z`);
+            expect(outcome).toMatchObject({
+                kind: ApplyOutcomeKind.Conflict,
+                conflict: {
+                    baseVersion: 1,
+                    currentVersion: 2,
+                    complete: true,
+                    versions: [{ operator: "ken", changes: [{ name: "a", requester: "Ken", contested: false }] }],
+                },
+            });
+            expect(accepted().operator).toBe("ken");
+        });
+
+        it("lists each version since an older base and marks rules that both changed", async () => {
+            for (const [index, text] of texts.entries()) {
+                await apply(`operator${index}`, text);
+            }
+            const outcome = await apply("yui", "service a slots=9 # Yui", 1);
+            const versions = [
+                { version: 2, changes: [{ name: "a", contested: true }] },
+                { version: 3, changes: [{ name: "a", contested: true }, { name: "b", contested: false }] },
+                { version: 4 },
+            ];
+            const conflict = { baseVersion: 1, currentVersion: 4, complete: true, versions };
+            expect(outcome).toMatchObject({ conflict });
+            store.objects.delete(configurationHistoryKey(2));
+            expect(await apply("yui", "service a slots=9 # Yui", 1)).toMatchObject({ conflict: { complete: false } });
+        });
+    });
+
+    describe("lost responses", () => {
+        beforeEach(() => apply("mao", texts[0]));
+
+        it.each([
+            { name: "a lost response", faults: [Fault.LostResponse] },
+            { name: "a lost request", faults: [Fault.LostRequest] },
+            { name: "a lost request, then a lost response", faults: [Fault.LostRequest, Fault.LostResponse] },
+            { name: "a lost request, then an outage", faults: [Fault.LostRequest, Fault.Down] },
+        ])("applies exactly once after $name", async ({ faults }) => {
+            failCalls(current, ...faults);
+            const outcome = await apply("ken", texts[1]);
+            expect(outcome).toMatchObject({ kind: ApplyOutcomeKind.Applied, supersededBy: undefined });
+            expect(versions().map(({ version, changeId }) => [version, changeId])).toEqual([[2, "ken-2"], [1, "mao-1"]]);
+        });
+
+        it("recognizes its own change after a later operator replaced it", async () => {
+            store.onCall = async call => {
+                if (call !== current) {
+                    return undefined;
+                }
+                // The later operator writes between the lost response and the read back.
+                interleave(readCurrent, 1, () => apply("yui", texts[2]));
+                return Fault.LostResponse;
+            };
+            expect(await apply("ken", texts[1])).toMatchObject({ kind: ApplyOutcomeKind.Applied, supersededBy: 3 });
+            expect(accepted()).toMatchObject({ version: 3, operator: "yui" });
+        });
+
+        it("reports a conflict if the write was lost and another operator won", async () => {
+            interleave(current, 1, () => apply("yui", texts[2]), Fault.LostRequest);
+            expect(await apply("ken", texts[1])).toMatchObject({ kind: ApplyOutcomeKind.Conflict });
+            expect(accepted()).toMatchObject({ version: 2, operator: "yui" });
+        });
+
+        it("says unknown while the store cannot be read back, and finds the change when run again", async () => {
+            let written = false;
+            store.onCall = call => {
+                written ||= call === current;
+                return call === current ? Fault.LostResponse : written ? Fault.Down : undefined;
+            };
+            const outcome = await apply("ken", texts[1]);
+            expect(outcome).toMatchObject({ kind: ApplyOutcomeKind.Unknown, version: 2, changeId: "ken-2" });
+            store.onCall = () => undefined;
+            expect((await apply("ken", texts[1], 1)).kind).toBe(ApplyOutcomeKind.Unchanged);
+            expect(accepted()).toMatchObject({ version: 2, changeId: "ken-2" });
+        });
+
+        it("continues after a lost response of the archive write", async () => {
+            failCalls(`write ${configurationHistoryKey(1)}`, Fault.LostResponse);
+            expect((await apply("ken", texts[1])).kind).toBe(ApplyOutcomeKind.Applied);
+        });
+    });
+
+    it.each([readCurrent, `write ${configurationHistoryKey(1)}`, current])(
+        "changes nothing when the store is down at %s",
+        async call => {
+            await apply("mao", texts[0]);
+            failCalls(call, Fault.Down, Fault.Down, Fault.Down);
+            expect((await apply("ken", texts[1])).kind).toBe(ApplyOutcomeKind.StoreUnavailable);
+            expect(accepted().version).toBe(1);
+        },
+    );
+
+    it("refuses to replace an object that is not a snapshot or was altered", async () => {
+        await apply("mao", texts[0]);
+        const altered = JSON.stringify({ ...accepted(), operator: "x" });
+        for (const value of ["{", "7", "{}", altered]) {
+            store.objects.set(currentConfigurationKey, { revision: "x", value });
+            expect((await apply("ken", texts[1])).kind).toBe(ApplyOutcomeKind.BrokenRecord);
+        }
+    });
+
+    it("never uses the number of a deleted snapshot again", async () => {
+        await apply("mao", texts[0]);
+        await apply("mao", texts[1]);
+        store.objects.delete(currentConfigurationKey);
+        await apply("ken", texts[2]);
+        expect(accepted()).toMatchObject({ version: 3, parent: 1 });
+    });
+
+    it("reports what happened under any faults of two operators' calls", async () => {
+        const fault = fc.constantFrom(undefined, undefined, ...Object.values(Fault));
+        const faults = fc.array(fault, { minLength: 2, maxLength: 16 });
+        const seen = new Set<ApplyOutcomeKind>();
+        await fc.assert(fc.asyncProperty(faults, faults, fc.nat({ max: 8 }), async (own, others, interruptedCall) => {
+            store = new FakeStore();
+            await apply("mao", texts[0]);
+            let made = 0;
+            const failOwnCalls = async (): Promise<Fault | undefined> => {
+                const index = made++;
+                if (index === interruptedCall) {
+                    let otherCalls = 0;
+                    store.onCall = () => others[otherCalls++];
+                    await apply("yui", texts[2]);
+                    store.onCall = failOwnCalls;
+                }
+                return own[index];
+            };
+            store.onCall = failOwnCalls;
+            const outcome = await apply("ken", texts[1]);
+            seen.add(outcome.kind);
+            const found = versions().filter(snapshot => snapshot.operator === "ken");
+            const numbers = versions().map(snapshot => snapshot.version).toSorted((left, right) => left - right);
+            expect(numbers).toEqual(numbers.map((_, index) => index + 1));
+            if (outcome.kind !== ApplyOutcomeKind.Unknown) {
+                expect(found).toHaveLength(outcome.kind === ApplyOutcomeKind.Applied ? 1 : 0);
+            }
+            expect(found.length).toBeLessThanOrEqual(1);
+        }), { seed: 20_263, numRuns: 2_000 });
+        // Guards against faults that never reach the writes.
+        const { Applied, Conflict, StoreUnavailable, Unknown } = ApplyOutcomeKind;
+        expect([...seen]).toEqual(expect.arrayContaining([Applied, Conflict, StoreUnavailable, Unknown]));
+    });
+});
+
+describe("undoVersion", () => {
+    beforeEach(async () => {
+        await apply("mao", texts[0]);
+        await apply("mao", texts[1]);
+    });
+
+    it("makes a new version with the older content, and an undo of the undo restores it", async () => {
+        await undoVersion(operator("ken"));
+        expect(accepted()).toMatchObject({ version: 3, text: texts[0], operator: "ken" });
+        await undoVersion(operator("ken"));
+        expect(accepted()).toMatchObject({ version: 4, text: texts[1] });
+    });
+
+    it("restores a named version", async () => {
+        await apply("mao", texts[2]);
+        await undoVersion(operator("ken"), 1);
+        expect(accepted()).toMatchObject({ version: 4, text: texts[0] });
+        expect((await undoVersion(operator("ken"), 4)).kind).toBe(ApplyOutcomeKind.Unchanged);
+    });
+
+    it("refuses versions that do not exist", async () => {
+        expect((await undoVersion(operator("ken"), 9)).kind).toBe(UndoOutcomeKind.NoSuchVersion);
+        store = new FakeStore();
+        expect((await undoVersion(operator("ken"))).kind).toBe(UndoOutcomeKind.NothingToUndo);
+        await apply("mao", texts[0]);
+        expect((await undoVersion(operator("ken"))).kind).toBe(UndoOutcomeKind.NothingToUndo);
+    });
+
+    it("does not undo a version that another operator applied after the operator looked", async () => {
+        interleave(`read ${configurationHistoryKey(1)}`, 1, () => apply("yui", texts[2]));
+        expect((await undoVersion(operator("ken"))).kind).toBe(ApplyOutcomeKind.Conflict);
+        expect(accepted()).toMatchObject({ version: 3, operator: "yui" });
+    });
+});
--- /dev/null
+++ b/cli/operator/test/commandLine.test.ts
@@ -0,0 +1,176 @@
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { beforeEach, describe, expect, it } from "vitest";
+import { ManualClock } from "@bilberrycroft/core.clock";
+import { currentConfigurationKey } from "@bilberrycroft/protocol.store";
+import type { Snapshot } from "@bilberrycroft/state.snapshots";
+import { type CommandEnvironment, ExitCode, type NodeClient, runCommandLine } from "../src/index";
+import { answer, fakeNode, member, silence } from "./fakeNode";
+import { Fault, FakeStore } from "./fakeStore";
+
+const files: Readonly<Record<string, string>> = {
+    one: "service a # Aiko: first",
+    two: "service a # Aiko: first\nroute r path=/r to=a class=short timeout=1s repeat=yes # Ken\u00a0K: why",
+    bad: "service a needs=b # Aiko",
+};
+const flags = ["--store", "s:1", "--operator", "mao", "--node", "a:1"];
+
+let store: FakeStore;
+let node: NodeClient;
+let interrupt: AbortController;
+let output: string;
+let errors: string;
+
+async function run(...argv: readonly string[]): Promise<ExitCode> {
+    output = "";
+    errors = "";
+    const clock = new ManualClock();
+    const environment: CommandEnvironment = {
+        clock,
+        signal: interrupt.signal,
+        connectStore: () => store,
+        connectNode: () => node,
+        readText: file => files[file] ?? (() => {
+            throw new Error("no such file");
+        })(),
+        createChangeId: () => `change-${store.calls.length}`,
+        sleep: async duration => clock.advance(duration),
+        print: text => void (output += text),
+        printError: text => void (errors += text),
+    };
+    return await runCommandLine(argv, environment);
+}
+
+function accepted(): Snapshot {
+    return JSON.parse(store.objects.get(currentConfigurationKey)?.value ?? "{}") as Snapshot;
+}
+
+beforeEach(() => {
+    store = new FakeStore();
+    node = fakeNode("a:1", silence("a:1"));
+    interrupt = new AbortController();
+});
+
+describe("exit codes", () => {
+    it.each([
+        [["check", "one"], ExitCode.Done],
+        [["check", "bad"], ExitCode.Refused],
+        [["check", "missing"], ExitCode.Usage],
+        [["check"], ExitCode.Usage],
+        [["check", "one", "--unknown"], ExitCode.Usage],
+        [["bogus"], ExitCode.Usage],
+        [["diff", "one"], ExitCode.Usage],
+        [["apply", "one", "--store", "s:1"], ExitCode.Usage],
+        [["apply", "one", "--store", "s:1", "--operator", "mao", "--wait"], ExitCode.Usage],
+        [["apply", "one", ...flags, "--base", "x"], ExitCode.Usage],
+        [["apply", "one", ...flags, "--base", "3"], ExitCode.Conflict],
+        [["status", "--store", "no-port", "--node", "a:1"], ExitCode.Usage],
+        [["apply", "one", ...flags], ExitCode.Done],
+        [["apply", "bad", ...flags], ExitCode.Refused],
+        [["undo", ...flags], ExitCode.Refused],
+        [["history", ...flags], ExitCode.Done],
+        [["explain", "a", ...flags], ExitCode.Refused],
+        [["status", ...flags], ExitCode.Refused],
+        [["drain", "a:1"], ExitCode.Done],
+        [["drain", "nobody", ...flags], ExitCode.Refused],
+        [["metrics", ...flags], ExitCode.Done],
+    ])("%j", async (argv, code) => {
+        expect(await run(...argv)).toBe(code);
+        expect(code === ExitCode.Usage ? errors : output).not.toBe("");
+    });
+
+    it.each(["diff one", "apply one", "undo", "history", "status", "nodes", "explain a"])(
+        "%s tells that the store is down",
+        async command => {
+            store.onCall = () => Fault.Down;
+            expect(await run(...command.split(" "), ...flags)).toBe(ExitCode.StoreUnavailable);
+        },
+    );
+
+    it("tells that the outcome is unknown", async () => {
+        await run("apply", "one", ...flags);
+        store.onCall = call => call === `write ${currentConfigurationKey}` ? Fault.LostRequest : undefined;
+        expect(await run("apply", "two", ...flags)).toBe(ExitCode.OutcomeUnknown);
+        expect(output).toContain("unknown");
+    });
+});
+
+describe("settings", () => {
+    it("reads a file, lets flags override it and names the line of a problem", async () => {
+        const file = join(mkdtempSync(join(tmpdir(), "operator-")), "settings.yaml");
+        writeFileSync(file, "store: s:1\nnodes: [a:1]\noperator: ken\n");
+        expect(await run("apply", "one", "--settings", file)).toBe(ExitCode.Done);
+        expect(accepted().operator).toBe("ken");
+        await run("apply", "two", "--settings", file, "--operator", "yui");
+        expect(accepted().operator).toBe("yui");
+        writeFileSync(file, "store: s:1\nnode: a:1\n");
+        expect(await run("status", "--settings", file)).toBe(ExitCode.Usage);
+        expect(errors).toContain(`${file}:2:1: node: unknown key`);
+    });
+});
+
+describe("commands", () => {
+    beforeEach(async () => {
+        await run("apply", "one", ...flags);
+        await run("apply", "two", ...flags);
+        const { version, digest } = accepted();
+        const old = { version: 1, digest: "d1" };
+        node = fakeNode("a:1", answer("a", [member("b", old), member("c", {}, true)], { version, digest }));
+    });
+
+    it("diff prints the base and the changed rules", async () => {
+        await run("diff", "one", ...flags, "--json");
+        expect(JSON.parse(output)).toMatchObject({ base: 2, changes: [{ kind: "removed", name: "r" }] });
+    });
+
+    it("history lists versions with their changes, and prints the text of one", async () => {
+        await run("history", ...flags, "--limit", "1", "--json");
+        expect(JSON.parse(output)).toMatchObject({ entries: [{ version: 2, current: true, changes: [{ name: "r" }] }] });
+        await run("history", ...flags);
+        expect(output).toContain("Version 1 by mao");
+        await run("history", "1", ...flags);
+        expect(output).toBe(files.one);
+        expect(await run("history", "7", ...flags)).toBe(ExitCode.Refused);
+    });
+
+    it.each(["r", "route r", "/r/7"])("explain %s names line, requester, origin and reach", async query => {
+        expect(await run("explain", query, ...flags, "--json")).toBe(ExitCode.Done);
+        expect(JSON.parse(output)).toMatchObject({
+            explanations: [{
+                rule: { line: 2, requester: "Ken\u00a0K", reason: "why" },
+                attribution: { version: 2, operator: "mao", exact: true },
+                presence: { inForce: ["a"], notInForce: ["b"], unknown: ["c"] },
+            }],
+        });
+    });
+
+    it("explain finds a line that an earlier version introduced in force on nodes that lag behind", async () => {
+        await run("explain", "a", ...flags);
+        expect(output).toContain("introduced by version 1");
+        expect(output).toContain("in force on 2: a, b");
+    });
+
+    it("drain finds a node by its host", async () => {
+        expect(await run("drain", "host-b", ...flags)).toBe(ExitCode.Done);
+    });
+
+    it("does not print control characters of another operator's name", async () => {
+        await run("undo", ...flags.with(3, "x"), "--operator", "\u202emao");
+        await run("history", ...flags);
+        expect(output).not.toContain("\u202e");
+    });
+
+    it("apply --wait tells which nodes lack the version and which are unknown", async () => {
+        expect(await run("apply", "two", ...flags, "--wait", "--wait-seconds", "2")).toBe(ExitCode.NotInForce);
+        expect(output).toContain("b (east): behind, version 1");
+        expect(output).toContain("c (east): unknown");
+    });
+
+    it("prints what is known when --wait is interrupted", async () => {
+        interrupt.abort();
+        expect(await run("undo", ...flags, "--wait")).toBe(ExitCode.NotInForce);
+        expect(output).toContain("Applied version 3");
+        expect(output).toContain("Interrupted. Version 3 stays accepted");
+    });
+});
