--- a/state/snapshots/src/deltas.ts
+++ b/state/snapshots/src/deltas.ts
@@ -10,7 +10,7 @@
  * The cost of the comparison grows with the square of the number of edits. Texts that differ by more get one edit over
  * everything between their common first and last lines.
  */
-const maxComparedEdits = 1_000;
+const maxComparedEdits = 200;
 
 /** Describes how to make `next` from `base`. */
 export function encodeDelta(base: Snapshot, next: Snapshot): Delta {
