--- /dev/null
+++ b/bench/src/callers.ts
@@ -0,0 +1,57 @@
+/**
+ * Callers of the demo: single calls over Node's `http`, each awaited whole.
+ */
+import { Agent, type IncomingHttpHeaders, request } from "node:http";
+
+const callTimeoutMs = 10_000;
+
+/** A call to a node. */
+export interface CallerRequest {
+    readonly address: string;
+    readonly path: string;
+    readonly method?: string;
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly body?: string;
+}
+
+/** A whole response, or that there was none. */
+export interface CallerResponse {
+    /** 0 if the connection failed or the response was truncated. */
+    readonly status: number;
+    readonly headers: IncomingHttpHeaders;
+    readonly body: string;
+}
+
+const agent = new Agent({ keepAlive: true });
+const noResponse: CallerResponse = { status: 0, headers: {}, body: "" };
+
+/** Sends one call; never rejects. */
+export function call(options: CallerRequest): Promise<CallerResponse> {
+    return new Promise(resolve => {
+        const clientRequest = request(`http://${options.address}${options.path}`, {
+            method: options.method ?? "GET",
+            headers: options.headers,
+            agent,
+            timeout: callTimeoutMs,
+        }, response => {
+            const chunks: Buffer[] = [];
+            response.on("data", (chunk: Buffer) => chunks.push(chunk));
+            response.on("error", () => resolve(noResponse));
+            response.on("close", () => resolve(response.complete
+                ? {
+                        status: response.statusCode ?? 0,
+                        headers: response.headers,
+                        body: Buffer.concat(chunks).toString("utf8"),
+                    }
+                : noResponse));
+        });
+        clientRequest.on("error", () => resolve(noResponse));
+        clientRequest.on("timeout", () => clientRequest.destroy());
+        clientRequest.end(options.body);
+    });
+}
+
+/** Ends idle connections. */
+export function closeCallers(): void {
+    agent.destroy();
+}
--- a/bench/src/demo.ts
+++ b/bench/src/demo.ts
@@ -1,2 +1,249 @@
-/** Entry point; the program is not written yet. */
-process.exitCode = 2;
+/**
+ * The demo: runs a whole deployment on loopback, applies rules, makes calls, applies a changed and a bad file, and
+ * checks what took effect, where and at whose request. Exits with 1 if anything it checks is wrong.
+ */
+import { readFileSync } from "node:fs";
+import { type Clock, SystemClock } from "@bilberrycroft/core.clock";
+import { connectNodeOverControl, ExitCode, runCommandLine } from "@bilberrycroft/cli.operator";
+import { CallHeader, CallOutcome } from "@bilberrycroft/protocol.calls";
+import { ControlClient } from "@bilberrycroft/transport.control";
+import { HttpStore } from "@bilberrycroft/transport.store";
+import { cac } from "cac";
+import { v4 as createId, v7 as createIdempotencyKey } from "uuid";
+import { call, closeCallers } from "./callers";
+import { deployments, type DeploymentShape } from "./deployments";
+import { type Mesh, startMesh } from "./mesh";
+
+const callRounds = 30;
+const callSpacingMs = 50;
+const convergenceTargetMs = 6_000;
+const pollMs = 10;
+const joinLimitMs = 15_000;
+const drainLimitMs = 15_000;
+
+/** Runs the demo of one deployment. */
+class Demo {
+    private readonly clock: Clock = new SystemClock();
+    private readonly control = new ControlClient();
+    private readonly files = new Map<string, string>();
+    private readonly failures: string[] = [];
+
+    constructor(private readonly shape: DeploymentShape, private readonly mesh: Mesh) {}
+
+    /** Runs every step; returns whether all checks held. */
+    async run(): Promise<boolean> {
+        await this.waitForTargets();
+        await this.refuseWithoutConfiguration();
+        await this.applyFirstVersion();
+        await this.makeCalls();
+        await this.callOnce();
+        await this.applyChange();
+        await this.applyBadFile();
+        await this.explainAndCount();
+        await this.drainHost();
+        this.print(this.failures.length === 0
+            ? "\nAll checks held."
+            : `\nFailed checks:\n${this.failures.map(failure => `  ${failure}`).join("\n")}`);
+        this.control.close();
+        closeCallers();
+        return this.failures.length === 0;
+    }
+
+    private async waitForTargets(): Promise<void> {
+        const targets = this.mesh.hosts.length;
+        this.print(`${this.shape.name}: ${targets} nodes and targets in ${this.shape.zones.join(", ")}`);
+        const joined = await this.waitUntil(joinLimitMs, async () => {
+            const reports = await Promise.all(this.mesh.hosts.map(host =>
+                this.control.status(host.node.controlAddress)));
+            return reports.every(report => "value" in report && report.value.members.length === targets
+                && report.value.members.every(({ entry }) => entry.targets.length === 1));
+        });
+        this.check("every node knows every node and its target", joined !== undefined);
+    }
+
+    private async refuseWithoutConfiguration(): Promise<void> {
+        const response = await this.callNode(0, this.shape.shortPath);
+        this.check("a node without configuration refuses as not run", response.headers[CallHeader.Outcome] === CallOutcome.NotRun);
+    }
+
+    private async applyFirstVersion(): Promise<void> {
+        const text = readFileSync(this.shape.rulesFile, "utf8");
+        this.files.set("mesh.rules", text);
+        await this.operate(["check", "mesh.rules"], ExitCode.Done);
+        await this.operate(["apply", "mesh.rules", "--wait"], ExitCode.Done);
+        this.check("version 1 is in force on every node", this.mesh.hosts.every(host => host.node.version() === 1));
+    }
+
+    private async makeCalls(): Promise<void> {
+        const calls: Promise<string>[] = [];
+        for (let round = 0; round < callRounds; round++) {
+            calls.push(...this.mesh.hosts.map((_, index) => this.outcomeOf(index, this.shape.shortPath)));
+            await sleep(callSpacingMs);
+        }
+        calls.push(this.outcomeOf(0, this.shape.longPath));
+        const outcomes = await Promise.all(calls);
+        const done = outcomes.filter(outcome => outcome === CallOutcome.Done).length;
+        this.print(`\n${done} of ${outcomes.length} calls done`);
+        this.print([...new Set(outcomes)].map(outcome =>
+            `  ${outcome}: ${outcomes.filter(other => other === outcome).length}`).join("\n"));
+        this.check("every call is done", done === outcomes.length);
+    }
+
+    /** A call that may not be repeated, sent again through another node with the same key. */
+    private async callOnce(): Promise<void> {
+        const key = createIdempotencyKey();
+        const first = await this.callNode(0, this.shape.oncePath, key);
+        const second = await this.callNode(1, this.shape.oncePath, key);
+        const runs = this.mesh.hosts.reduce((sum, host) => sum + (host.target.runs().get(key) ?? 0), 0);
+        this.print(`\n${this.shape.oncePath} sent twice under one key through two nodes: ran ${runs} time(s)`);
+        this.check("the first call is done", first.headers[CallHeader.Outcome] === CallOutcome.Done);
+        this.check("the second call gets the recorded response", second.headers[CallHeader.Replayed] === "1" && second.body === first.body);
+        this.check("the call ran once", runs === 1);
+    }
+
+    private async applyChange(): Promise<void> {
+        const changed = (this.files.get("mesh.rules") ?? "").replace("timeout=500ms", "timeout=450ms")
+            .replace("timeout=600ms", "timeout=550ms");
+        this.files.set("changed.rules", changed);
+        await this.operate(["diff", "changed.rules"], ExitCode.Done);
+        const startedAt = this.clock.now();
+        await this.operate(["apply", "changed.rules", "--base", "1"], ExitCode.Done);
+        const convergedMs = await this.waitUntil(convergenceTargetMs, async () =>
+            this.mesh.hosts.every(host => host.node.version() === 2), startedAt);
+        this.print(`Version 2 in force on all ${this.mesh.hosts.length} nodes ${Math.round(convergedMs ?? 0)} ms `
+            + "after the command started.");
+        this.check("version 2 is in force everywhere within 6 s", convergedMs !== undefined);
+        await this.operate(["apply", "mesh.rules", "--base", "1"], ExitCode.Conflict);
+    }
+
+    private async applyBadFile(): Promise<void> {
+        const bad = `${this.files.get("changed.rules") ?? ""}route late path=/late to=nowhere class=short timeout=1s repeat=yes\n`;
+        this.files.set("bad.rules", bad);
+        await this.operate(["apply", "bad.rules"], ExitCode.Refused);
+        this.check("the bad file took effect nowhere", this.mesh.hosts.every(host => host.node.version() === 2));
+    }
+
+    private async explainAndCount(): Promise<void> {
+        const route = this.shape === deployments.dakar ? "seances-book" : "alarms-acknowledge";
+        await this.operate(["explain", route], ExitCode.Done);
+        await this.operate(["status"], ExitCode.Done);
+        await this.operate(["history"], ExitCode.Done);
+        const metrics = await this.control.metrics(this.nodeAt(0).controlAddress);
+        const lines = "value" in metrics ? metrics.value.split("\n") : [];
+        const histograms = lines.filter(line => line.startsWith("bilberrycroft_tenant_latency_ms"));
+        this.print("\nHistograms of one node per tenant and class (milliseconds):");
+        histograms.forEach(line => this.print(`  ${line}`));
+        this.check("histograms are kept per tenant and class", histograms.length > 0);
+    }
+
+    /** Calls go on while one node stops; none is cut. */
+    private async drainHost(): Promise<void> {
+        const host = this.mesh.hosts[this.mesh.hosts.length - 1];
+        if (host === undefined) {
+            return;
+        }
+        await this.operate(["drain", host.node.controlAddress], ExitCode.Done);
+        const outcomes = await Promise.all(Array.from({ length: callRounds }, async (_, index) => {
+            await sleep(index * pollMs);
+            return this.outcomeOf(0, this.shape.shortPath);
+        }));
+        const left = await this.waitUntil(drainLimitMs, async () => {
+            const report = await this.control.status(this.nodeAt(0).controlAddress);
+            return "value" in report && report.value.members.length === this.mesh.hosts.length - 1;
+        });
+        this.check("calls go on while a node stops", outcomes.every(outcome => outcome === CallOutcome.Done));
+        this.check("the stopped node left the membership", left !== undefined);
+    }
+
+    private nodeAt(index: number): { readonly callAddress: string; readonly controlAddress: string } {
+        const host = this.mesh.hosts[index % this.mesh.hosts.length];
+        return host === undefined ? { callAddress: "", controlAddress: "" } : host.node;
+    }
+
+    private callNode(index: number, path: string, key?: string) {
+        const tenants = this.shape.tenants;
+        return call({
+            address: this.nodeAt(index).callAddress,
+            path,
+            method: key === undefined ? "GET" : "POST",
+            headers: {
+                // A resend has to repeat its call in every part, the tenant included.
+                [CallHeader.Tenant]: tenants[key === undefined ? index % tenants.length : 0] ?? "",
+                ...key === undefined ? {} : { [CallHeader.IdempotencyKey]: key },
+            },
+        });
+    }
+
+    private async outcomeOf(index: number, path: string): Promise<string> {
+        const response = await this.callNode(index, path);
+        return String(response.headers[CallHeader.Reason] ?? response.headers[CallHeader.Outcome] ?? "no response");
+    }
+
+    /** Runs the operators' client with its real command line. */
+    private async operate(argv: readonly string[], expected: ExitCode): Promise<void> {
+        this.print(`\n$ bilberrycroft ${argv.join(" ")}`);
+        const nodes = this.mesh.hosts.slice(0, 3).flatMap(host => ["--node", host.node.controlAddress]);
+        const store = ["--store", this.mesh.store.address, "--operator", "Haruka"];
+        const exitCode = await runCommandLine([...argv, ...store, ...nodes], {
+            clock: this.clock,
+            signal: new AbortController().signal,
+            connectStore: address => new HttpStore({ address }),
+            connectNode: address => connectNodeOverControl(this.control, address),
+            readText: file => this.files.get(file) ?? "",
+            createChangeId: createId,
+            sleep,
+            print: text => this.print(text),
+            printError: text => this.print(text),
+        });
+        this.check(`"${argv.join(" ")}" exits with ${expected}`, exitCode === expected);
+    }
+
+    private async waitUntil(
+        limitMs: number,
+        condition: () => Promise<boolean>,
+        startedAt = this.clock.now(),
+    ): Promise<number | undefined> {
+        while (this.clock.now() - startedAt < limitMs) {
+            if (await condition()) {
+                return this.clock.now() - startedAt;
+            }
+            await sleep(pollMs);
+        }
+        return undefined;
+    }
+
+    private check(what: string, holds: boolean): void {
+        if (!holds) {
+            this.failures.push(what);
+            this.print(`FAILED: ${what}`);
+        }
+    }
+
+    private print(text: string): void {
+        process.stdout.write(`${text}\n`);
+    }
+}
+
+function sleep(durationMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, durationMs));
+}
+
+async function runDemo(name: string): Promise<void> {
+    const shape = deployments[name];
+    if (shape === undefined) {
+        process.stderr.write(`demo: unknown deployment ${name}; use ${Object.keys(deployments).join(" or ")}\n`);
+        process.exit(2);
+    }
+    const mesh = await startMesh({ shape });
+    const allHeld = await new Demo(shape, mesh).run();
+    await mesh.close();
+    process.exit(allHeld ? 0 : 1);
+}
+
+const program = cac("demo");
+program
+    .command("", "Run a deployment on loopback")
+    .option("--deployment <name>", "kyushu or dakar", { default: "kyushu" })
+    .action((options: { readonly deployment: string }) => runDemo(options.deployment));
+program.help();
+program.parse();
--- /dev/null
+++ b/bench/src/deployments.ts
@@ -0,0 +1,81 @@
+/**
+ * The two deployments of the users, in the sizes that `docs/design.md` gives, for the demo, tests and benches.
+ */
+import type { Milliseconds } from "@bilberrycroft/core.clock";
+
+/** Endpoints of one service. */
+export interface ServiceShape {
+    readonly name: string;
+    readonly endpoints: number;
+}
+
+/** Size of a deployment. */
+export interface DeploymentShape {
+    readonly name: string;
+    readonly region: string;
+    readonly zones: readonly string[];
+    readonly services: readonly ServiceShape[];
+    readonly slots: number;
+    readonly connections: number;
+    readonly shortMs: Milliseconds;
+    readonly longMs: Milliseconds;
+    readonly rulesFile: string;
+    /** Paths that the stand-in targets serve slowly. */
+    readonly longPaths: readonly string[];
+    readonly tenants: readonly string[];
+    /** Path of a short, repeatable call. */
+    readonly shortPath: string;
+    /** Path of a long call. */
+    readonly longPath: string;
+    /** Path of a call that may not be repeated. */
+    readonly oncePath: string;
+}
+
+/** Tori-kaze Shed Alarm Mesh. */
+export const kyushu: DeploymentShape = {
+    name: "kyushu",
+    region: "Kyushu",
+    zones: ["Fukuoka", "Kumamoto", "Kagoshima"],
+    services: [
+        { name: "readings", endpoints: 4 },
+        { name: "alarms", endpoints: 4 },
+        { name: "archive", endpoints: 3 },
+        { name: "fans", endpoints: 3 },
+    ],
+    slots: 6,
+    connections: 100,
+    shortMs: 5,
+    longMs: 250,
+    rulesFile: "examples/kyushu.rules",
+    longPaths: ["/archive/export"],
+    tenants: ["cooperative", "farmers-fukuoka", "farmers-kumamoto", "farmers-kagoshima"],
+    shortPath: "/readings/latest/shed-7",
+    longPath: "/archive/export/2026-11",
+    oncePath: "/alarms/acknowledge/4711",
+};
+
+/** Children's shoe fitters of Senegal. */
+export const dakar: DeploymentShape = {
+    name: "dakar",
+    region: "Dakar",
+    zones: ["Plateau", "Medina", "Pikine", "Rufisque"],
+    services: [
+        { name: "pieds", endpoints: 5 },
+        { name: "seances", endpoints: 5 },
+        { name: "manuels", endpoints: 4 },
+        { name: "formes", endpoints: 4 },
+    ],
+    slots: 12,
+    connections: 130,
+    shortMs: 5,
+    longMs: 250,
+    rulesFile: "examples/dakar.rules",
+    longPaths: ["/manuels/download"],
+    tenants: ["association", "shops-plateau", "shops-medina", "shops-pikine", "shops-rufisque"],
+    shortPath: "/pieds/lasts",
+    longPath: "/manuels/download/apprentice",
+    oncePath: "/seances/book",
+};
+
+/** Deployments by name. */
+export const deployments: Readonly<Record<string, DeploymentShape>> = { kyushu, dakar };
--- /dev/null
+++ b/bench/src/mesh.ts
@@ -0,0 +1,103 @@
+/**
+ * A whole deployment in one process, on loopback: stand-in store, one node and one stand-in target for each endpoint.
+ */
+import type { Milliseconds } from "@bilberrycroft/core.clock";
+import { LogLevel } from "@bilberrycroft/core.logger";
+import { type NodeSettings, nodeSettingsSchema, type RunningNode, startNode } from "@bilberrycroft/daemons.node";
+import { startStoreStandin, type StoreStandin } from "@bilberrycroft/standins.store";
+import { startTargetStandin, type TargetStandin } from "@bilberrycroft/standins.target";
+import type { DeploymentShape } from "./deployments";
+
+const loopback = "127.0.0.1";
+const firstSeed = 1_000;
+
+/** One host: its node and its target. */
+export interface MeshHost {
+    readonly name: string;
+    readonly zone: string;
+    readonly service: string;
+    readonly node: RunningNode;
+    readonly target: TargetStandin;
+}
+
+/** A running deployment. */
+export interface Mesh {
+    readonly store: StoreStandin;
+    readonly hosts: readonly MeshHost[];
+    close(): Promise<void>;
+}
+
+/** Options of `startMesh`. */
+export interface MeshOptions {
+    readonly shape: DeploymentShape;
+    readonly logLevel?: LogLevel;
+    /** Cold start of the stand-in targets; 0 starts them at full speed. */
+    readonly coldStartMs?: Milliseconds;
+}
+
+/** Starts a deployment; endpoints are spread over the zones in turn. */
+export async function startMesh(options: MeshOptions): Promise<Mesh> {
+    const { shape } = options;
+    const store = await startStoreStandin({ port: 0 });
+    const places = shape.services.flatMap((service, first) =>
+        Array.from({ length: service.endpoints }, (_, index) => ({
+            service: service.name,
+            zone: shape.zones[(first + index) % shape.zones.length] as string,
+            name: `${service.name}-${index + 1}`,
+        })));
+    const hosts: MeshHost[] = [];
+    for (const [index, place] of places.entries()) {
+        const peers = hosts.slice(0, 2).map(host => host.node.controlAddress);
+        hosts.push(await startHost({ ...options, ...place, index, store: store.address, peers }));
+    }
+    return {
+        store,
+        hosts,
+        close: async () => {
+            await Promise.all(hosts.map(host => host.target.close()));
+            await Promise.all(hosts.map(host => host.node.kill()));
+            await store.close();
+        },
+    };
+}
+
+interface HostOptions extends MeshOptions {
+    readonly name: string;
+    readonly zone: string;
+    readonly service: string;
+    readonly index: number;
+    readonly store: string;
+    readonly peers: readonly string[];
+}
+
+async function startHost(options: HostOptions): Promise<MeshHost> {
+    const { shape, name, zone, service, index } = options;
+    const node = await startNode({ settings: createNodeSettings(options), seed: firstSeed + index });
+    const target = await startTargetStandin({
+        id: name,
+        service,
+        slots: shape.slots,
+        connections: shape.connections,
+        shortMs: shape.shortMs,
+        longMs: shape.longMs,
+        longPaths: [...shape.longPaths],
+        coldStartMs: options.coldStartMs ?? 0,
+        seed: index + 1,
+        nodeControl: node.controlAddress,
+        nodeCalls: node.callAddress,
+    });
+    return { name, zone, service, node, target };
+}
+
+function createNodeSettings(options: HostOptions): NodeSettings {
+    return nodeSettingsSchema.parse({
+        host: options.name,
+        zone: options.zone,
+        region: options.shape.region,
+        control: { host: loopback, port: 0 },
+        calls: { host: loopback, port: 0 },
+        store: options.store,
+        peers: options.peers,
+        logLevel: options.logLevel ?? LogLevel.Silent,
+    });
+}
--- a/cli/operator/src/index.ts
+++ b/cli/operator/src/index.ts
@@ -12,4 +12,5 @@
 export * from "./settings";
 export * from "./statusView";
 export * from "./undoing";
+export * from "./transportClient";
 export * from "./waiting";
--- a/cli/operator/src/main.ts
+++ b/cli/operator/src/main.ts
@@ -3,8 +3,10 @@
 import { readFileSync } from "node:fs";
 import { setTimeout as sleep } from "node:timers/promises";
 import { SystemClock } from "@bilberrycroft/core.clock";
+import { ControlClient } from "@bilberrycroft/transport.control";
+import { HttpStore } from "@bilberrycroft/transport.store";
 import { runCommandLine } from "./commandLine";
-import { UsageProblem } from "./results";
+import { connectNodeOverControl } from "./transportClient";
 
 const interrupt = new AbortController();
 // A second interrupt ends the process at once.
@@ -22,15 +24,13 @@
     return new TextDecoder("utf-8", { fatal: true }).decode(readFileSync(file));
 }
 
-function reportMissingTransport(part: string): never {
-    throw new UsageProblem(`this build has no ${part}`);
-}
+const control = new ControlClient();
 
 process.exitCode = await runCommandLine(process.argv.slice(2), {
     clock: new SystemClock(),
     signal: interrupt.signal,
-    connectStore: () => reportMissingTransport("store client"),
-    connectNode: () => reportMissingTransport("control client"),
+    connectStore: address => new HttpStore({ address }),
+    connectNode: address => connectNodeOverControl(control, address),
     readText,
     createChangeId: randomUUID,
     sleep: async duration => {
@@ -40,7 +40,5 @@
     printError: text => process.stderr.write(`${text}\n`),
 });
 
-if (interrupt.signal.aborted) {
-    // Questions to nodes may still be open; the operator does not wait for their timeouts.
-    process.exit();
-}
+// Kept-alive connections and questions that are still open would hold the process.
+process.exit();
--- a/core/errors/src/index.ts
+++ b/core/errors/src/index.ts
@@ -19,23 +19,24 @@
     readonly cause?: unknown;
 }
 
-/** Base class of all errors thrown by the project. */
-export class BilberrycroftError extends ModernError {
-    readonly code: ErrorCode;
-    readonly hint: string | undefined;
+/** Base class of all errors thrown by the project; created by `createBilberrycroftError`. */
+export const BilberrycroftError = ModernError.subclass("BilberrycroftError", {
+    props: { code: ErrorCode.BrokenInvariant as ErrorCode, hint: undefined as string | undefined },
+});
 
-    constructor(message: string, details: ErrorDetails) {
-        super(message, { cause: details.cause });
-        this.name = "BilberrycroftError";
-        this.code = details.code;
-        this.hint = details.hint;
-    }
+/** An error with its code and hint. */
+export type BilberrycroftFailure = InstanceType<typeof BilberrycroftError>;
+
+/** Creates an error; the message of its cause comes first in the message. */
+export function createBilberrycroftError(message: string, details: ErrorDetails): BilberrycroftFailure {
+    const { code, hint, cause } = details;
+    return new BilberrycroftError(message, { cause, props: { code, hint } });
 }
 
 /** Stops the process through the program's edge when a condition that must hold does not. */
 export function assertInvariant(condition: boolean, message: string): asserts condition {
     if (!condition) {
-        throw new BilberrycroftError(message, {
+        throw createBilberrycroftError(message, {
             code: ErrorCode.BrokenInvariant,
             hint: "This is a fault in bilberrycroft. Keep the log and report it.",
         });
@@ -44,5 +45,5 @@
 
 /** Makes a `switch` over a discriminated union exhaustive at compile time. */
 export function assertNever(value: never): never {
-    throw new BilberrycroftError(`unexpected variant ${JSON.stringify(value)}`, { code: ErrorCode.BrokenInvariant });
+    throw createBilberrycroftError(`unexpected variant ${JSON.stringify(value)}`, { code: ErrorCode.BrokenInvariant });
 }
--- /dev/null
+++ b/daemons/node/src/calls/callTask.ts
@@ -0,0 +1,310 @@
+/**
+ * Task of calls: owns the call listener's requests, the connections to targets, and the state of routing, admission,
+ * retries and quarantine.
+ */
+import { createHash, randomUUID } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { connect } from "node:net";
+import { type DispatchEvent, type Dispatcher, type TenantShare } from "@bilberrycroft/coordination.admission";
+import { type Quarantine, QuarantineDecisionKind } from "@bilberrycroft/coordination.quarantine";
+import type { Retries } from "@bilberrycroft/coordination.retries";
+import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
+import type { Logger } from "@bilberrycroft/core.logger";
+import { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
+import { CallCounter, type CallHistograms } from "@bilberrycroft/state.histograms";
+import { findRoute, type RouteRule, type RuleSet } from "@bilberrycroft/state.rules";
+import type { VerifiedSnapshot } from "@bilberrycroft/state.snapshots";
+import { BodyOutcomeKind, readBody, type TargetClient } from "@bilberrycroft/transport.calls";
+import { interval, Subject, type Subscription } from "rxjs";
+import { type AcceptedCall, AdditionalAttempt, CallExecution, type CallResult, type CallServices } from "./callExecution";
+import { type CallHead, readCallHead } from "./callRequest";
+import type { Claims } from "./claims";
+import { sendOwnResponse } from "./responses";
+
+// Queued calls are started by the completions of others; the tick only expires them and repairs a missed start.
+const tickMs: Milliseconds = 20;
+const crashProbeDelayMs: Milliseconds = 20;
+const crashProbeTimeoutMs: Milliseconds = 500;
+const anonymousTenant = "anonymous";
+// Leaves the caller's node time to respond before the caller itself gives up.
+const deadlineMarginMs: Milliseconds = 2;
+
+/** Options of a `CallTask`. */
+export interface CallTaskOptions {
+    readonly clock: Clock;
+    readonly dispatcher: Dispatcher;
+    readonly retries: Retries;
+    readonly quarantine: Quarantine;
+    readonly claims: Claims;
+    readonly targets: TargetClient;
+    readonly histograms: CallHistograms;
+    readonly maxRequestBytes: number;
+    readonly logger: Logger;
+}
+
+/** A target that crashed with calls in flight. */
+export interface TargetCrash {
+    readonly target: string;
+    readonly fingerprints: readonly string[];
+}
+
+interface BrokenConnections {
+    readonly address: string;
+    readonly fingerprints: Set<string>;
+}
+
+/** Carries the calls of a node. */
+export class CallTask {
+    /** Number of calls in flight, whenever it changes. */
+    readonly inFlight = new Subject<number>();
+    /** Targets that were found dead after connections broke. */
+    readonly crashes = new Subject<TargetCrash>();
+
+    private configuration: VerifiedSnapshot | undefined;
+    private notServing: string | undefined = "no configuration yet";
+    private isClosing = false;
+    private calls = 0;
+    private readonly executions = new Map<string, CallExecution>();
+    private readonly broken = new Map<string, BrokenConnections>();
+    private readonly services: CallServices;
+    private readonly ticking: Subscription;
+
+    constructor(private readonly options: CallTaskOptions) {
+        this.services = {
+            clock: options.clock,
+            dispatcher: options.dispatcher,
+            retries: options.retries,
+            targets: options.targets,
+            dispatch: events => this.dispatch(events),
+            connectionBroke: (target, address, fingerprint) => this.connectionBroke(target, address, fingerprint),
+            countAttempt: kind => options.histograms.count(attemptCounters[kind]),
+        };
+        this.ticking = interval(tickMs).subscribe(() => this.dispatch(options.dispatcher.tick()));
+    }
+
+    /** Carries new calls under another rule set; calls in progress keep theirs. */
+    activate(configuration: VerifiedSnapshot): void {
+        this.configuration = configuration;
+        this.notServing = undefined;
+        this.options.retries.keepRoutes(new Set(configuration.rules.routes.keys()));
+    }
+
+    /** Why the node refuses calls; `undefined` while it serves. */
+    get refusalCause(): string | undefined {
+        return this.notServing;
+    }
+
+    /** Calls in progress. */
+    get callsInProgress(): number {
+        return this.calls;
+    }
+
+    /** Refuses calls that still arrive on open connections. */
+    refuseNewCalls(): void {
+        this.isClosing = true;
+    }
+
+    /** Ends the task's timers and idle connections. */
+    stop(): void {
+        this.ticking.unsubscribe();
+        this.options.targets.close();
+    }
+
+    /** Takes one request of a caller. */
+    handle(request: IncomingMessage, response: ServerResponse): void {
+        this.changeInFlight(1);
+        void this.carry(request, response).finally(() => this.changeInFlight(-1));
+    }
+
+    private async carry(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const startedAt = this.options.clock.now();
+        const head = readCallHead(request);
+        const { configuration } = this;
+        if (head === CallReason.BadRequest) {
+            return this.refuse(response, CallReason.BadRequest);
+        }
+        if (configuration === undefined) {
+            return this.refuse(response, CallReason.NoConfiguration, notServingRetryMs);
+        }
+        if (this.isClosing) {
+            return this.refuse(response, CallReason.Draining, notServingRetryMs);
+        }
+        const route = findRoute(configuration.rules, head.path);
+        if (route === undefined) {
+            return this.refuse(response, CallReason.NoRoute);
+        }
+        if (route.tenants.length > 0 && !route.tenants.includes(head.tenant ?? "")) {
+            return this.refuse(response, CallReason.TenantNotAllowed);
+        }
+        const body = await readBody(request, this.options.maxRequestBytes);
+        if (body.kind !== BodyOutcomeKind.Complete) {
+            response.setHeader("connection", "close");
+            return this.refuse(response, CallReason.BadRequest);
+        }
+        const call = this.accept({ head, request, body: body.body, route, startedAt, configuration });
+        const result = await this.run(call, response);
+        this.record(call, result, startedAt);
+    }
+
+    private accept(options: {
+        readonly head: CallHead;
+        readonly request: IncomingMessage;
+        readonly body: Buffer;
+        readonly route: RouteRule;
+        readonly startedAt: Milliseconds;
+        readonly configuration: VerifiedSnapshot;
+    }): AcceptedCall {
+        const { head, request, body, route, startedAt, configuration } = options;
+        const timeoutMs = Math.min(route.timeoutMs, head.timeoutMs ?? route.timeoutMs);
+        const tenant = shareOf(configuration.rules, head.tenant);
+        return {
+            head,
+            received: request.headers,
+            body,
+            submitted: {
+                callId: randomUUID(),
+                route,
+                tenant,
+                deadlineAt: startedAt + Math.max(1, timeoutMs - deadlineMarginMs),
+                depth: head.depth,
+            },
+            fingerprint: this.options.quarantine.fingerprint({
+                method: head.method,
+                path: head.url,
+                tenant: tenant.name,
+                bodyDigest: body.length === 0 ? "" : createHash("sha256").update(body).digest("hex"),
+            }),
+            version: configuration.snapshot.version,
+        };
+    }
+
+    private async run(call: AcceptedCall, response: ServerResponse): Promise<CallResult> {
+        const held = this.options.quarantine.check(call.fingerprint);
+        if (held.kind === QuarantineDecisionKind.Held) {
+            this.options.histograms.count(CallCounter.Quarantines);
+            return this.refuseAccepted(call, response, CallReason.Quarantined, held.retryAfterMs);
+        }
+        const result = call.submitted.route.repeatable
+            ? await this.execute(call, response)
+            : await this.options.claims.carryOnce(call, response, () => this.execute(call, response));
+        if (result.outcome === CallOutcome.Done) {
+            this.options.quarantine.completed(call.fingerprint);
+        }
+        return result;
+    }
+
+    private async execute(call: AcceptedCall, response: ServerResponse): Promise<CallResult> {
+        const { callId } = call.submitted;
+        const execution = new CallExecution(call, response, this.services);
+        this.executions.set(callId, execution);
+        const onClose = (): void => {
+            if (!response.writableFinished) {
+                execution.callerLeft();
+            }
+        };
+        response.once("close", onClose);
+        const result = await execution.run();
+        response.off("close", onClose);
+        this.executions.delete(callId);
+        return result;
+    }
+
+    private refuseAccepted(
+        call: AcceptedCall,
+        response: ServerResponse,
+        reason: CallReason,
+        retryAfterMs: Milliseconds,
+    ): CallResult {
+        sendOwnResponse(response, { outcome: CallOutcome.NotRun, reason, retryAfterMs, version: call.version });
+        return { outcome: CallOutcome.NotRun, reason, target: undefined, answer: undefined };
+    }
+
+    private refuse(response: ServerResponse, reason: CallReason, retryAfterMs?: Milliseconds): void {
+        const version = this.configuration?.snapshot.version ?? 0;
+        sendOwnResponse(response, { outcome: CallOutcome.NotRun, reason, retryAfterMs, version });
+    }
+
+    private record(call: AcceptedCall, result: CallResult, startedAt: Milliseconds): void {
+        const { histograms, clock } = this.options;
+        const { route, tenant } = call.submitted;
+        if (result.reason === CallReason.Overloaded) {
+            histograms.count(CallCounter.Sheds);
+        }
+        histograms.record({
+            tenant: tenant.name,
+            runTimeClass: route.runTimeClass,
+            route: route.name,
+            target: result.target,
+            outcome: result.reason ?? result.outcome,
+            latencyMs: clock.now() - startedAt,
+        });
+    }
+
+    private dispatch(events: readonly DispatchEvent[]): void {
+        for (const event of events) {
+            this.executions.get(event.callId)?.dispatched(event);
+        }
+    }
+
+    private changeInFlight(change: number): void {
+        this.calls += change;
+        this.inFlight.next(this.calls);
+    }
+
+    /** Gathers the calls whose connections to one target broke together, then finds out whether the target died. */
+    private connectionBroke(target: string, address: string, fingerprint: string): void {
+        const known = this.broken.get(target);
+        if (known !== undefined) {
+            known.fingerprints.add(fingerprint);
+            return;
+        }
+        const broken: BrokenConnections = { address, fingerprints: new Set([fingerprint]) };
+        this.broken.set(target, broken);
+        setTimeout(() => void this.judgeBroken(target, broken), crashProbeDelayMs);
+    }
+
+    private async judgeBroken(target: string, broken: BrokenConnections): Promise<void> {
+        const isListening = await probeListener(broken.address);
+        this.broken.delete(target);
+        if (isListening) {
+            return;
+        }
+        const fingerprints = [...broken.fingerprints];
+        this.options.logger.warn("Target died with calls in flight.", { target, calls: fingerprints.length });
+        this.crashes.next({ target, fingerprints });
+    }
+}
+
+const notServingRetryMs: Milliseconds = 1_000;
+
+const attemptCounters: Readonly<Record<AdditionalAttempt, CallCounter>> = {
+    [AdditionalAttempt.Retry]: CallCounter.Retries,
+    [AdditionalAttempt.Hedge]: CallCounter.Hedges,
+};
+
+const anonymousShare: TenantShare = { name: anonymousTenant, weight: 1, ratePerSecond: undefined };
+
+/** Callers without a tenant, or with one that the rules do not name, share one anonymous tenant. */
+function shareOf(rules: RuleSet, tenant: string | undefined): TenantShare {
+    return (tenant === undefined ? undefined : rules.tenants.get(tenant)) ?? anonymousShare;
+}
+
+/** Whether a process accepts connections at the address. */
+function probeListener(address: string): Promise<boolean> {
+    const separator = address.lastIndexOf(":");
+    return new Promise(resolve => {
+        const socket = connect({
+            host: address.slice(0, separator).replace(/^\[|\]$/g, ""),
+            port: Number(address.slice(separator + 1)),
+            timeout: crashProbeTimeoutMs,
+        });
+        const settle = (isListening: boolean): void => {
+            socket.destroy();
+            resolve(isListening);
+        };
+        socket.on("connect", () => settle(true));
+        // A target that does not answer may be cut off; only a refused connection shows that its process is gone.
+        socket.on("timeout", () => settle(true));
+        socket.on("error", error => settle((error as NodeJS.ErrnoException).code !== "ECONNREFUSED"));
+    });
+}
--- a/daemons/node/src/index.ts
+++ b/daemons/node/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from "./node";
+export * from "./settings";
--- /dev/null
+++ b/daemons/node/src/metrics.ts
@@ -0,0 +1,122 @@
+/**
+ * Metrics of a node in the Prometheus text format.
+ */
+import type { CallHistograms, LatencySummary } from "@bilberrycroft/state.histograms";
+import { Gauge, Registry } from "prom-client";
+
+const prefix = "bilberrycroft_";
+
+/** Values that are read when metrics are asked for. */
+export interface MetricSource {
+    readonly histograms: CallHistograms;
+    version(): number;
+    callsInFlight(): number;
+    callsQueued(): number;
+    controlBytesSent(): number;
+    controlBytesReceived(): number;
+    knownNodes(): number;
+}
+
+/** Metrics of one node. */
+export interface NodeMetrics {
+    render(): Promise<string>;
+}
+
+/** Creates the metrics of a node. */
+export function createNodeMetrics(source: MetricSource): NodeMetrics {
+    const registry = new Registry();
+    addValue(registry, "configuration_version", "Version of the configuration in force.", () => source.version());
+    addValue(registry, "calls_in_flight", "Calls in progress.", () => source.callsInFlight());
+    addValue(registry, "calls_queued", "Calls that wait for a target.", () => source.callsQueued());
+    addValue(registry, "nodes_known", "Nodes in the membership table.", () => source.knownNodes());
+    addValue(registry, "control_sent_bytes", "Bytes of control messages sent.", () => source.controlBytesSent());
+    addValue(registry, "control_received_bytes", "Bytes of control messages received.", () => source.controlBytesReceived());
+    const calls = addCallGauges(registry);
+    return {
+        render: () => {
+            fillCallGauges(calls, source.histograms);
+            return registry.metrics();
+        },
+    };
+}
+
+interface CallGauges {
+    readonly tenants: Gauge<"tenant" | "class" | "statistic">;
+    readonly routes: Gauge<"route" | "statistic">;
+    readonly targets: Gauge<"target" | "statistic">;
+    readonly outcomes: Gauge<"outcome">;
+    readonly events: Gauge<"event">;
+}
+
+function addValue(registry: Registry, name: string, help: string, read: () => number): void {
+    new Gauge({
+        name: prefix + name,
+        help,
+        registers: [registry],
+        collect() {
+            this.set(read());
+        },
+    });
+}
+
+function addCallGauges(registry: Registry): CallGauges {
+    const registers = [registry];
+    return {
+        tenants: new Gauge({
+            name: `${prefix}tenant_latency_ms`,
+            help: "Latency of calls by tenant and class; statistic count is a number of calls.",
+            labelNames: ["tenant", "class", "statistic"],
+            registers,
+        }),
+        routes: new Gauge({
+            name: `${prefix}route_latency_ms`,
+            help: "Latency of calls by route; statistic count is a number of calls.",
+            labelNames: ["route", "statistic"],
+            registers,
+        }),
+        targets: new Gauge({
+            name: `${prefix}target_latency_ms`,
+            help: "Latency of calls by the target that answered; statistic count is a number of calls.",
+            labelNames: ["target", "statistic"],
+            registers,
+        }),
+        outcomes: new Gauge({
+            name: `${prefix}calls`,
+            help: "Calls by outcome, or by the reason of a response that the node made itself.",
+            labelNames: ["outcome"],
+            registers,
+        }),
+        events: new Gauge({
+            name: `${prefix}call_events`,
+            help: "Retries, hedges, sheds and quarantined calls.",
+            labelNames: ["event"],
+            registers,
+        }),
+    };
+}
+
+function fillCallGauges(gauges: CallGauges, histograms: CallHistograms): void {
+    const report = histograms.snapshot();
+    for (const { tenant, runTimeClass, ...summary } of report.tenants) {
+        setStatistics(summary, (statistic, value) =>
+            gauges.tenants.set({ tenant, class: runTimeClass, statistic }, value));
+    }
+    for (const { label, ...summary } of report.routes) {
+        setStatistics(summary, (statistic, value) => gauges.routes.set({ route: label, statistic }, value));
+    }
+    for (const { label, ...summary } of report.targets) {
+        setStatistics(summary, (statistic, value) => gauges.targets.set({ target: label, statistic }, value));
+    }
+    for (const { label, count } of report.outcomes) {
+        gauges.outcomes.set({ outcome: label }, count);
+    }
+    for (const { counter, value } of report.counters) {
+        gauges.events.set({ event: counter }, value);
+    }
+}
+
+function setStatistics(summary: LatencySummary, set: (statistic: string, value: number) => void): void {
+    for (const [statistic, value] of Object.entries(summary)) {
+        set(statistic, value);
+    }
+}
--- a/protocol/control/src/index.ts
+++ b/protocol/control/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./messages";
+export * from "./router";
+export * from "./schemas";
--- /dev/null
+++ b/protocol/control/src/schemas.ts
@@ -0,0 +1,133 @@
+/**
+ * Schemas of the data that travels between nodes. Every bound limits what a faulty peer can make a node hold.
+ */
+import { JoinReplyKind, Liveness, TargetState } from "@bilberrycroft/coordination.membership";
+import { z } from "zod";
+
+const maxNameLength = 200;
+const maxReasonLength = 500;
+const maxTargetsOfHost = 64;
+const maxTextLength = 1_000_000;
+const maxEdits = 100_000;
+
+export const nameSchema = z.string().max(maxNameLength);
+const addressSchema = z.string().min(3).max(maxNameLength);
+const countSchema = z.number().int().min(0).max(1_000_000);
+const timeSchema = z.number().min(0).max(Number.MAX_SAFE_INTEGER);
+export const versionSchema = z.number().int().min(0).max(Number.MAX_SAFE_INTEGER);
+
+export const headSchema = z.object({ version: versionSchema, digest: nameSchema });
+
+const snapshotFields = {
+    version: versionSchema,
+    parent: versionSchema,
+    digest: nameSchema,
+    changeId: nameSchema,
+    operator: nameSchema,
+    acceptedAt: timeSchema,
+};
+
+export const snapshotSchema = z.object({ ...snapshotFields, text: z.string().max(maxTextLength) });
+
+export const deltaSchema = z.object({
+    base: headSchema,
+    next: z.object(snapshotFields),
+    edits: z.array(z.object({
+        position: countSchema,
+        removed: countSchema,
+        inserted: z.array(z.string().max(maxTextLength)).max(maxEdits),
+    })).max(maxEdits),
+});
+
+export const targetSchema = z.object({
+    id: nameSchema,
+    service: nameSchema,
+    address: addressSchema,
+    state: z.enum(TargetState),
+    slots: countSchema.min(1),
+    connections: countSchema.min(1),
+    since: timeSchema,
+});
+
+export const announcementSchema = targetSchema.omit({ since: true });
+
+export const entrySchema = z.object({
+    node: nameSchema,
+    host: nameSchema,
+    zone: nameSchema,
+    region: nameSchema,
+    controlAddress: addressSchema,
+    callAddress: addressSchema,
+    incarnation: timeSchema,
+    revision: versionSchema,
+    liveness: z.enum(Liveness),
+    version: versionSchema,
+    digest: nameSchema,
+    refusal: z.object({
+        version: versionSchema,
+        digest: nameSchema,
+        line: countSchema,
+        requester: nameSchema,
+        reason: z.string().max(maxReasonLength),
+    }).optional(),
+    targets: z.array(targetSchema).max(maxTargetsOfHost),
+});
+
+const maxEntries = 2_000;
+const maxUpdates = 64;
+const maxZones = 64;
+const maxNodes = 2_000;
+
+const senderSchema = z.object({ node: nameSchema, host: nameSchema, zone: nameSchema, controlAddress: addressSchema });
+
+export const crashReportSchema = z.object({
+    fingerprint: nameSchema,
+    target: nameSchema,
+    at: timeSchema,
+    node: nameSchema,
+});
+
+const suspicionSchema = z.object({
+    node: nameSchema,
+    revision: versionSchema,
+    observers: z.array(nameSchema).max(maxNodes),
+    confirmers: z.array(nameSchema).max(maxNodes),
+});
+
+const versionReportSchema = z.object({
+    version: versionSchema,
+    digest: nameSchema,
+    nodes: z.array(z.object({ node: nameSchema, since: versionSchema, revision: versionSchema })).max(maxNodes),
+});
+
+export const exchangeSchema = z.object({
+    from: senderSchema,
+    head: headSchema,
+    digests: z.array(z.object({ zone: nameSchema, digest: nameSchema })).max(maxZones),
+    updates: z.array(entrySchema).max(maxUpdates),
+    versions: z.array(versionReportSchema).max(maxUpdates),
+    suspicions: z.array(suspicionSchema).max(maxNodes),
+    crashReports: z.array(crashReportSchema).max(maxNodes),
+    unreachableZones: z.array(nameSchema).max(maxZones),
+    rememberedVersion: versionSchema,
+    receiverUnknown: z.boolean(),
+});
+
+export const tableCopySchema = z.object({
+    from: senderSchema,
+    head: headSchema,
+    entries: z.array(entrySchema).max(maxEntries),
+    ended: z.array(z.object({ entry: entrySchema, endedForMs: timeSchema })).max(maxEntries),
+    remembered: z.array(z.object({ host: nameSchema, version: versionSchema, ageMs: timeSchema })).max(maxEntries),
+    rememberedVersion: versionSchema,
+    complete: z.boolean(),
+});
+
+export const joinReplySchema = z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal(JoinReplyKind.Joined), table: tableCopySchema }),
+    z.object({
+        kind: z.literal(JoinReplyKind.Busy),
+        other: addressSchema.optional(),
+        retryAfterMs: timeSchema,
+    }),
+]);
--- a/standins/store/src/server.ts
+++ b/standins/store/src/server.ts
@@ -5,7 +5,7 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { SystemClock } from "@bilberrycroft/core.clock";
-import { BilberrycroftError, ErrorCode } from "@bilberrycroft/core.errors";
+import { createBilberrycroftError, ErrorCode } from "@bilberrycroft/core.errors";
 import { MemoryStore, type StoreFaultControl } from "@bilberrycroft/protocol.store";
 import type { SchedulerLike } from "rxjs";
 import { handleStoreRequest } from "./handler";
@@ -47,7 +47,7 @@
         await once(server, "listening");
     }
     catch (cause) {
-        throw new BilberrycroftError(`cannot listen on ${host}:${options.port}`, {
+        throw createBilberrycroftError(`cannot listen on ${host}:${options.port}`, {
             code: ErrorCode.ListenFailed,
             hint: "Choose another port, or end the process that uses it.",
             cause,
--- a/standins/target/src/listener.ts
+++ b/standins/target/src/listener.ts
@@ -4,7 +4,7 @@
 import { once } from "node:events";
 import { createServer, type RequestListener, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import { BilberrycroftError, ErrorCode } from "@bilberrycroft/core.errors";
+import { createBilberrycroftError, ErrorCode } from "@bilberrycroft/core.errors";
 import type { SchedulerLike } from "rxjs";
 
 /** Where and how a target listens. */
@@ -52,7 +52,7 @@
             await once(this.server, "listening");
         }
         catch (cause) {
-            throw new BilberrycroftError(`cannot listen on ${this.address}`, {
+            throw createBilberrycroftError(`cannot listen on ${this.address}`, {
                 code: ErrorCode.ListenFailed,
                 hint: "Choose another port, or end the process that uses it.",
                 cause,
--- /dev/null
+++ b/transport/calls/src/bodies.ts
@@ -0,0 +1,38 @@
+/**
+ * Reads the body of an HTTP message into memory up to a bound.
+ */
+import type { IncomingMessage } from "node:http";
+
+/** Kinds of `BodyOutcome`. */
+export enum BodyOutcomeKind {
+    Complete = "complete",
+    TooLarge = "too large",
+    /** The sender went away before the end of the body. */
+    Truncated = "truncated",
+}
+
+/** Result of reading a body. */
+export type BodyOutcome =
+    | { readonly kind: BodyOutcomeKind.Complete; readonly body: Buffer }
+    | { readonly kind: BodyOutcomeKind.TooLarge }
+    | { readonly kind: BodyOutcomeKind.Truncated };
+
+/** Reads a whole body; stops reading as soon as it passes `maxBytes`. */
+export function readBody(message: IncomingMessage, maxBytes: number): Promise<BodyOutcome> {
+    return new Promise(resolve => {
+        const chunks: Buffer[] = [];
+        let size = 0;
+        message.on("data", (chunk: Buffer) => {
+            size += chunk.length;
+            if (size > maxBytes) {
+                message.pause();
+                resolve({ kind: BodyOutcomeKind.TooLarge });
+                return;
+            }
+            chunks.push(chunk);
+        });
+        message.on("end", () => resolve({ kind: BodyOutcomeKind.Complete, body: Buffer.concat(chunks) }));
+        message.on("error", () => resolve({ kind: BodyOutcomeKind.Truncated }));
+        message.on("close", () => resolve({ kind: BodyOutcomeKind.Truncated }));
+    });
+}
--- a/transport/calls/src/index.ts
+++ b/transport/calls/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./bodies";
+export * from "./listener";
+export * from "./targetClient";
--- /dev/null
+++ b/transport/calls/src/listener.ts
@@ -0,0 +1,80 @@
+/**
+ * HTTP listener with bounds on connections, headers and waiting times. Used for callers and for control.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { Milliseconds } from "@bilberrycroft/core.clock";
+
+const headersTimeoutMs: Milliseconds = 10_000;
+const keepAliveTimeoutMs: Milliseconds = 30_000;
+const maxHeaderBytes = 16_384;
+
+/** Options of `startListener`. */
+export interface ListenerOptions {
+    /** IP number to bind to. */
+    readonly host: string;
+    /** 0 takes any free port. */
+    readonly port: number;
+    readonly maxConnections: number;
+    /** Time in which a request must have arrived whole. */
+    readonly requestTimeoutMs: Milliseconds;
+    handle(request: IncomingMessage, response: ServerResponse): void;
+}
+
+/** A listener that accepts requests. */
+export interface Listener {
+    /** `host:port` that the listener is bound to. */
+    readonly address: string;
+    /** Accepts no new connection; idle connections end, others end after their current response. */
+    stopAccepting(): void;
+    /** Ends all connections. */
+    close(): Promise<void>;
+}
+
+/** Binds a listener; rejects when the address cannot be bound. */
+export function startListener(options: ListenerOptions): Promise<Listener> {
+    let stopping = false;
+    const server = createServer({
+        maxHeaderSize: maxHeaderBytes,
+        headersTimeout: Math.min(headersTimeoutMs, options.requestTimeoutMs),
+        requestTimeout: options.requestTimeoutMs,
+        keepAliveTimeout: keepAliveTimeoutMs,
+        noDelay: true,
+    }, (request, response) => {
+        if (stopping) {
+            response.setHeader("connection", "close");
+        }
+        response.on("error", () => undefined);
+        options.handle(request, response);
+    });
+    server.maxConnections = options.maxConnections;
+    server.on("clientError", (_error, socket) => {
+        socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\nx-mesh-outcome: not-run\r\n\r\n");
+    });
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(options.port, options.host, () => {
+            resolve({
+                address: formatAddress(server),
+                stopAccepting: () => {
+                    stopping = true;
+                    server.close();
+                    server.closeIdleConnections();
+                },
+                close: () => closeServer(server),
+            });
+        });
+    });
+}
+
+function formatAddress(server: Server): string {
+    const { address, port, family } = server.address() as AddressInfo;
+    return family === "IPv6" ? `[${address}]:${port}` : `${address}:${port}`;
+}
+
+function closeServer(server: Server): Promise<void> {
+    return new Promise(resolve => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+    });
+}
--- /dev/null
+++ b/transport/calls/src/targetClient.ts
@@ -0,0 +1,146 @@
+/**
+ * Sends attempts of calls to targets over kept-alive connections, one pool for each target.
+ *
+ * An HTTP/1.1 connection carries one attempt at a time and is destroyed when its attempt is abandoned, so that a late
+ * response can never be read as the response to another call.
+ */
+import { Agent, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage, request } from "node:http";
+import type { Milliseconds } from "@bilberrycroft/core.clock";
+
+const idleConnectionMs: Milliseconds = 20_000;
+
+/** Kinds of `AttemptEvent`. */
+export enum AttemptEventKind {
+    /** The head of the response arrived; its body follows on `response`. */
+    Responded = "responded",
+    /** No connection was made, so no byte was sent. */
+    ConnectFailed = "connect failed",
+    /** The connection broke after bytes were sent and before the head of the response. */
+    Broken = "broken",
+    /** The attempt was abandoned by `cancel`. */
+    Cancelled = "cancelled",
+}
+
+/** How an attempt ended, or that its response began. */
+export type AttemptEvent =
+    | {
+        readonly kind: AttemptEventKind.Responded;
+        readonly status: number;
+        readonly headers: IncomingHttpHeaders;
+        readonly response: IncomingMessage;
+    }
+    | { readonly kind: AttemptEventKind.ConnectFailed; readonly reason: string }
+    | { readonly kind: AttemptEventKind.Broken; readonly reason: string }
+    | { readonly kind: AttemptEventKind.Cancelled };
+
+/** One attempt of a call at one target. */
+export interface AttemptRequest {
+    /** `host:port` of the target. */
+    readonly address: string;
+    readonly method: string;
+    readonly path: string;
+    readonly headers: Readonly<Record<string, string | readonly string[]>>;
+    readonly body: Buffer;
+    /** Opens a connection for this attempt alone, so that an idle connection closing cannot be taken for a run. */
+    readonly freshConnection: boolean;
+}
+
+/** A started attempt. */
+export interface Attempt {
+    /** Settles once; never rejects. */
+    readonly event: Promise<AttemptEvent>;
+    /** Abandons the attempt and its connection. */
+    cancel(): void;
+}
+
+/** Connection pools to targets. */
+export class TargetClient {
+    private readonly agents = new Map<string, Agent>();
+
+    /** Sets how many connections the pool of a target may hold; calls beyond it wait for a free connection. */
+    setConnectionLimit(address: string, connections: number): void {
+        this.agentOf(address).maxSockets = Math.max(1, connections);
+    }
+
+    /** Ends the idle connections of targets that are not listed. */
+    retainTargets(addresses: ReadonlySet<string>): void {
+        for (const [address, agent] of this.agents) {
+            if (!addresses.has(address) && Object.keys(agent.sockets).length === 0) {
+                agent.destroy();
+                this.agents.delete(address);
+            }
+        }
+    }
+
+    /** Starts an attempt. */
+    send(attempt: AttemptRequest): Attempt {
+        const separator = attempt.address.lastIndexOf(":");
+        const clientRequest = request({
+            host: attempt.address.slice(0, separator).replace(/^\[|\]$/g, ""),
+            port: Number(attempt.address.slice(separator + 1)),
+            method: attempt.method,
+            path: attempt.path,
+            headers: attempt.headers as Record<string, string | string[]>,
+            agent: attempt.freshConnection ? false : this.agentOf(attempt.address),
+        });
+        const event = observeAttempt(clientRequest);
+        clientRequest.end(attempt.body);
+        return { event, cancel: () => clientRequest.destroy(new CancelledAttempt()) };
+    }
+
+    /** Ends all connections. */
+    close(): void {
+        for (const agent of this.agents.values()) {
+            agent.destroy();
+        }
+        this.agents.clear();
+    }
+
+    private agentOf(address: string): Agent {
+        let agent = this.agents.get(address);
+        if (agent === undefined) {
+            agent = new Agent({ keepAlive: true, scheduling: "lifo", timeout: idleConnectionMs, noDelay: true });
+            this.agents.set(address, agent);
+        }
+        return agent;
+    }
+}
+
+/** Marks a connection that was destroyed on purpose. */
+class CancelledAttempt extends Error {}
+
+function observeAttempt(clientRequest: ClientRequest): Promise<AttemptEvent> {
+    let connected = false;
+    clientRequest.on("socket", socket => {
+        connected = !socket.connecting;
+        if (!connected) {
+            socket.once("connect", () => {
+                connected = true;
+            });
+        }
+    });
+    return new Promise(resolve => {
+        clientRequest.on("response", response => {
+            response.on("error", () => undefined);
+            resolve({
+                kind: AttemptEventKind.Responded,
+                status: response.statusCode ?? 502,
+                headers: response.headers,
+                response,
+            });
+        });
+        clientRequest.on("error", error => resolve(classifyFailure(error, connected)));
+        clientRequest.on("close", () => resolve({ kind: AttemptEventKind.Broken, reason: "connection closed" }));
+    });
+}
+
+/** No byte can have reached the target before its connection was made. */
+function classifyFailure(error: Error, connected: boolean): AttemptEvent {
+    if (error instanceof CancelledAttempt) {
+        return { kind: AttemptEventKind.Cancelled };
+    }
+    return {
+        kind: connected ? AttemptEventKind.Broken : AttemptEventKind.ConnectFailed,
+        reason: (error as NodeJS.ErrnoException).code ?? error.message,
+    };
+}
--- /dev/null
+++ b/transport/control/src/client.ts
@@ -0,0 +1,150 @@
+/**
+ * Control calls to other nodes. A call never throws; it ends as an outcome.
+ */
+import type { Entry, Exchange, JoinReply, TableCopy } from "@bilberrycroft/coordination.membership";
+import type { Milliseconds } from "@bilberrycroft/core.clock";
+import {
+    type ClaimAnswer,
+    type ConfigurationPush,
+    type ConfigurationUpdate,
+    type ControlRouter,
+    type DrainReport,
+    exchangeSchema,
+    joinReplySchema,
+    type StatusReport,
+    tableCopySchema,
+} from "@bilberrycroft/protocol.control";
+import { createTRPCClient, httpLink, type TRPCClient, TRPCClientError } from "@trpc/client";
+import type { z } from "zod";
+import { createNodeFetch, type NodeFetch } from "./nodeFetch";
+
+const callTimeoutMs: Milliseconds = 5_000;
+const maxResponseBytes = 2_000_000;
+const maxConnectionsPerPeer = 4;
+// Longer than the interval between two exchanges with a peer of another zone is rare; idle peers are reconnected.
+const idleConnectionMs: Milliseconds = 15_000;
+// Clients of peers that left would pile up without a bound.
+const maxClients = 256;
+
+/** Kinds of `ControlOutcome`. */
+export enum ControlOutcomeKind {
+    Done = "done",
+    /** No usable response; the call may have taken effect. */
+    Failed = "failed",
+}
+
+/** Result of a control call. */
+export type ControlOutcome<Value> =
+    | { readonly kind: ControlOutcomeKind.Done; readonly value: Value }
+    | { readonly kind: ControlOutcomeKind.Failed; readonly reason: string };
+
+/** Options of a `ControlClient`. */
+export interface ControlClientOptions {
+    readonly timeoutMs?: Milliseconds;
+    /** Told the number of bytes sent and received, headers excluded. */
+    countBytes?(sent: number, received: number): void;
+}
+
+/** Calls the control listeners of nodes by address. */
+export class ControlClient {
+    private readonly clients = new Map<string, TRPCClient<ControlRouter>>();
+    private readonly nodeFetch: NodeFetch;
+
+    constructor(options: ControlClientOptions = {}) {
+        this.nodeFetch = createNodeFetch({
+            timeoutMs: options.timeoutMs ?? callTimeoutMs,
+            maxResponseBytes,
+            maxConnectionsPerPeer,
+            idleConnectionMs,
+            countBytes: options.countBytes,
+        });
+    }
+
+    exchange(address: string, exchange: Exchange, timeoutMs: Milliseconds): Promise<ControlOutcome<Exchange>> {
+        const signal = AbortSignal.timeout(timeoutMs);
+        const call = this.clientOf(address).exchange.mutate(exchange, { signal });
+        return settle(call, exchangeSchema) as Promise<ControlOutcome<Exchange>>;
+    }
+
+    join(address: string, entry: Entry, timeoutMs: Milliseconds): Promise<ControlOutcome<JoinReply>> {
+        const signal = AbortSignal.timeout(timeoutMs);
+        const call = this.clientOf(address).join.mutate(entry, { signal });
+        return settle(call, joinReplySchema) as Promise<ControlOutcome<JoinReply>>;
+    }
+
+    zoneTable(address: string, zone: string, timeoutMs: Milliseconds): Promise<ControlOutcome<TableCopy>> {
+        const signal = AbortSignal.timeout(timeoutMs);
+        const call = this.clientOf(address).zoneTable.mutate(zone, { signal });
+        return settle(call, tableCopySchema) as Promise<ControlOutcome<TableCopy>>;
+    }
+
+    fetchConfiguration(
+        address: string,
+        base: { readonly version: number; readonly digest: string },
+    ): Promise<ControlOutcome<ConfigurationUpdate>> {
+        return settle(this.clientOf(address).fetchConfiguration.mutate(base));
+    }
+
+    pushConfiguration(address: string, push: ConfigurationPush): Promise<ControlOutcome<void>> {
+        return settle(this.clientOf(address).pushConfiguration.mutate(push));
+    }
+
+    claimOutcome(
+        address: string,
+        claim: { readonly key: string; readonly attempt: string },
+    ): Promise<ControlOutcome<ClaimAnswer>> {
+        return settle(this.clientOf(address).claimOutcome.mutate(claim));
+    }
+
+    status(address: string): Promise<ControlOutcome<StatusReport>> {
+        return settle(this.clientOf(address).status.query() as Promise<StatusReport>);
+    }
+
+    metrics(address: string): Promise<ControlOutcome<string>> {
+        return settle(this.clientOf(address).metrics.query());
+    }
+
+    drain(address: string): Promise<ControlOutcome<DrainReport>> {
+        return settle(this.clientOf(address).drain.mutate());
+    }
+
+    /** Ends all connections. */
+    close(): void {
+        this.nodeFetch.close();
+        this.clients.clear();
+    }
+
+    private clientOf(address: string): TRPCClient<ControlRouter> {
+        const known = this.clients.get(address);
+        if (known !== undefined) {
+            return known;
+        }
+        if (this.clients.size >= maxClients) {
+            this.clients.clear();
+        }
+        const client = createTRPCClient<ControlRouter>({
+            links: [httpLink({
+                url: `http://${address}`,
+                methodOverride: "POST",
+                fetch: this.nodeFetch.fetch as never,
+            })],
+        });
+        this.clients.set(address, client);
+        return client;
+    }
+}
+
+async function settle<Value>(call: Promise<Value>, schema?: z.ZodType): Promise<ControlOutcome<Value>> {
+    try {
+        const value = await call;
+        const checked = schema?.safeParse(value);
+        if (checked?.success === false) {
+            return { kind: ControlOutcomeKind.Failed, reason: `malformed response: ${checked.error.issues[0]?.message}` };
+        }
+        return { kind: ControlOutcomeKind.Done, value };
+    }
+    catch (error) {
+        const cause = error instanceof TRPCClientError ? error.cause ?? error : error as Error;
+        return { kind: ControlOutcomeKind.Failed, reason: (cause as NodeJS.ErrnoException).code ?? cause.message };
+    }
+}
--- a/transport/control/src/index.ts
+++ b/transport/control/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./client";
+export * from "./listener";
+export * from "./nodeFetch";
--- /dev/null
+++ b/transport/control/src/nodeFetch.ts
@@ -0,0 +1,97 @@
+/**
+ * A `fetch` over Node's `http` for the tRPC client: kept-alive connections, a bounded response and a time limit.
+ */
+import { Agent, type IncomingMessage, request } from "node:http";
+import type { Milliseconds } from "@bilberrycroft/core.clock";
+
+/** Bounds of control calls. */
+export interface NodeFetchOptions {
+    readonly timeoutMs: Milliseconds;
+    readonly maxResponseBytes: number;
+    readonly maxConnectionsPerPeer: number;
+    readonly idleConnectionMs: Milliseconds;
+    /** Told the number of bytes sent and received, headers excluded. */
+    countBytes?(sent: number, received: number): void;
+}
+
+/** The part of the fetch response that the tRPC client reads. */
+export interface FetchResponse {
+    readonly ok: boolean;
+    readonly status: number;
+    json(): Promise<unknown>;
+}
+
+interface FetchInit {
+    readonly method?: string;
+    readonly body?: unknown;
+    readonly headers?: unknown;
+    readonly signal?: AbortSignal | null | undefined;
+}
+
+/** A `fetch` with its connection pool. */
+export interface NodeFetch {
+    fetch(url: string | URL, init?: FetchInit): Promise<FetchResponse>;
+    close(): void;
+}
+
+/** Creates a `fetch` with a pool of its own. */
+export function createNodeFetch(options: NodeFetchOptions): NodeFetch {
+    const agent = new Agent({
+        keepAlive: true,
+        maxSockets: options.maxConnectionsPerPeer,
+        timeout: options.idleConnectionMs,
+    });
+    return {
+        fetch: (url, init = {}) => send({ url: new URL(url), init, agent, options }),
+        close: () => agent.destroy(),
+    };
+}
+
+interface Sending {
+    readonly url: URL;
+    readonly init: FetchInit;
+    readonly agent: Agent;
+    readonly options: NodeFetchOptions;
+}
+
+function send({ url, init, agent, options }: Sending): Promise<FetchResponse> {
+    const body = typeof init.body === "string" ? Buffer.from(init.body) : undefined;
+    return new Promise((resolve, reject) => {
+        const clientRequest = request(url, {
+            method: init.method ?? "GET",
+            headers: {
+                ...init.headers as Record<string, string>,
+                ...body === undefined ? {} : { "content-length": String(body.length) },
+            },
+            agent,
+            signal: init.signal ?? undefined,
+        });
+        const timer = setTimeout(() => clientRequest.destroy(new Error("timed out")), options.timeoutMs);
+        clientRequest.on("close", () => clearTimeout(timer));
+        clientRequest.on("error", reject);
+        clientRequest.on("response", response => {
+            readText(response, options.maxResponseBytes).then(text => {
+                options.countBytes?.(body?.length ?? 0, text.length);
+                const status = response.statusCode ?? 0;
+                resolve({ ok: status >= 200 && status < 300, status, json: async () => JSON.parse(text) as unknown });
+            }, error => {
+                clientRequest.destroy();
+                reject(error as Error);
+            });
+        });
+        clientRequest.end(body);
+    });
+}
+
+async function readText(response: IncomingMessage, maxBytes: number): Promise<string> {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    for await (const chunk of response) {
+        size += (chunk as Buffer).length;
+        if (size > maxBytes) {
+            throw new Error(`response is larger than ${maxBytes} bytes`);
+        }
+        chunks.push(chunk as Buffer);
+    }
+    return Buffer.concat(chunks).toString("utf8");
+}
--- a/transport/store/src/httpStore.ts
+++ b/transport/store/src/httpStore.ts
@@ -3,7 +3,7 @@
  */
 import { Agent } from "node:http";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
-import { BilberrycroftError, ErrorCode } from "@bilberrycroft/core.errors";
+import { createBilberrycroftError, ErrorCode } from "@bilberrycroft/core.errors";
 import {
     getConditionRevision,
     type ListOutcome,
@@ -157,7 +157,7 @@
     const match = /^\[?([^\]]+)\]?:(\d{1,5})$/.exec(address);
     const maxPort = 65_535;
     if (match?.[1] === undefined || Number(match[2]) > maxPort) {
-        throw new BilberrycroftError(`malformed store address "${address}"`, {
+        throw createBilberrycroftError(`malformed store address "${address}"`, {
             code: ErrorCode.BadSettings,
             hint: "Write it as <host>:<port>.",
         });
