--- a/coordination/lease/src/index.ts
+++ b/coordination/lease/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+export * from "./candidates";
+export * from "./lease";
+export * from "./messages";
+export * from "./summary";
