--- /dev/null
+++ b/coordination/membership/test/membership.test.ts
@@ -0,0 +1,351 @@
+import { beforeEach, describe, expect, it } from "vitest";
+import { ManualClock } from "@bilberrycroft/core.clock";
+import { createSeededRandom } from "@bilberrycroft/core.random";
+import {
+    endedRetentionMs,
+    HostVersions,
+    JoinReplyKind,
+    Liveness,
+    Membership,
+    MembershipInputKind,
+    MembershipOutputKind,
+    TargetState,
+    type Announcement,
+    type Entry,
+    type Exchange,
+    type MembershipInput,
+    type MembershipOutput,
+} from "../src/index";
+
+const idleBytesLimit = 1_000;
+const hour = 60 * 60 * 1_000;
+
+describe("membership", () => {
+    let clock: ManualClock;
+    let membership: Membership;
+
+    beforeEach(() => {
+        clock = new ManualClock();
+        membership = createMembership("self", "zone-0");
+    });
+
+    function createMembership(node: string, zone: string): Membership {
+        return new Membership({
+            clock,
+            random: createSeededRandom(11),
+            identity: {
+                node,
+                host: `host-of-${node}`,
+                zone,
+                region: "south",
+                controlAddress: "10.0.0.1:7000",
+                callAddress: "10.0.0.1:7001",
+                incarnation: 1_000,
+            },
+            peers: [],
+        });
+    }
+
+    function createEntry(node: string, change: Partial<Entry> = {}): Entry {
+        return {
+            ...membership.ownEntry(),
+            node,
+            host: `host-of-${node}`,
+            controlAddress: `10.0.0.2:${node}`,
+            ...change,
+        };
+    }
+
+    /** Takes updates as if a peer had sent them, and gives the reply. */
+    function receive(updates: readonly Entry[], change: Partial<Exchange> = {}): Exchange {
+        const peer = createEntry("peer");
+        const outputs = membership.handle({
+            kind: MembershipInputKind.ExchangeRequested,
+            token: 1,
+            exchange: {
+                from: peer,
+                head: { version: 0, digest: "" },
+                digests: [],
+                updates,
+                versions: [],
+                suspicions: [],
+                crashReports: [],
+                unreachableZones: [],
+                rememberedVersion: 0,
+                receiverUnknown: false,
+                ...change,
+            },
+        });
+        const reply = outputs.find(output => output.kind === MembershipOutputKind.ReplyExchange);
+        return (reply as Extract<MembershipOutput, { kind: MembershipOutputKind.ReplyExchange }>).exchange;
+    }
+
+    function run(input: MembershipInput): readonly MembershipOutput[] {
+        return membership.handle(input);
+    }
+
+    describe("merge", () => {
+        it("keeps the later revision in whatever order entries arrive, so that late messages change nothing", () => {
+            receive([createEntry("n", { revision: 5, version: 2 })]);
+            receive([createEntry("n", { revision: 4, version: 1 })]);
+            expect(membership.entryOf("n")?.version).toBe(2);
+        });
+
+        it("prefers Dead at the same revision and takes back the node at a higher one", () => {
+            receive([createEntry("n", { revision: 5 })]);
+            receive([createEntry("n", { revision: 5, liveness: Liveness.Dead })]);
+            receive([createEntry("n", { revision: 5 })]);
+            expect(membership.entries().map(entry => entry.node)).not.toContain("n");
+            receive([createEntry("n", { revision: 6 })]);
+            expect(membership.entries().map(entry => entry.node)).toContain("n");
+        });
+
+        it("replaces a host's earlier process and refuses its late entries", () => {
+            receive([createEntry("first", { host: "h", incarnation: 1_000 })]);
+            receive([createEntry("second", { host: "h", incarnation: 2_000 })]);
+            receive([createEntry("first", { host: "h", incarnation: 1_000, revision: 9 })]);
+            const nodes = membership.entries().filter(entry => entry.host === "h").map(entry => entry.node);
+            expect(nodes).toEqual(["second"]);
+        });
+
+        it("refutes a claim that this node is dead, so that a falsely declared node comes back", () => {
+            const before = membership.ownEntry();
+            const reply = receive([{ ...before, liveness: Liveness.Dead }]);
+            expect(membership.ownEntry().revision).toBeGreaterThan(before.revision);
+            expect(reply.updates.map(entry => entry.node)).toContain("self");
+        });
+
+        it("tells a node that it is held for dead, so that it can refute", () => {
+            const dead = createEntry("n", { revision: 5, liveness: Liveness.Dead });
+            receive([dead]);
+            const digests = [{ zone: "zone-0", digest: receive([]).digests[0]?.digest ?? "" }];
+            expect(receive([], { from: createEntry("n"), digests }).updates).toContainEqual(dead);
+        });
+
+        it("takes precedence over an earlier process of its host whose clock was ahead", () => {
+            receive([createEntry("earlier", { host: "host-of-self", incarnation: 9_000 })]);
+            expect(membership.ownEntry().incarnation).toBeGreaterThan(9_000);
+        });
+
+        it("does not apply a version report over a gap, so that missed targets are not hidden", () => {
+            receive([createEntry("n", { revision: 3 })]);
+            const versions = [{ version: 8, digest: "d", nodes: [{ node: "n", since: 5, revision: 6 }] }];
+            receive([], { versions });
+            expect(membership.entryOf("n")).toMatchObject({ revision: 3, version: 0 });
+            receive([createEntry("n", { revision: 5 })]);
+            receive([], { versions });
+            expect(membership.entryOf("n")).toMatchObject({ revision: 6, version: 8 });
+        });
+    });
+
+    describe("suspicion", () => {
+        const start = { kind: MembershipInputKind.Start } as const;
+
+        beforeEach(() => {
+            run(start);
+            receive([createEntry("suspect"), createEntry("peer"), createEntry("other"), createEntry("third")]);
+        });
+
+        function suspect(observers: readonly string[], confirmers: readonly string[] = []): void {
+            receive([], { suspicions: [{ node: "suspect", revision: 1, observers, confirmers }] });
+        }
+
+        /** Lets time pass while every call of this node is answered. */
+        function passTime(duration: number): void {
+            const exchange = receive([]);
+            for (let passed = 0; passed < duration; passed += 250) {
+                clock.advance(250);
+                for (const output of run({ kind: MembershipInputKind.Tick })) {
+                    if (output.kind === MembershipOutputKind.SendExchange) {
+                        const from = createEntry(output.node);
+                        const { call } = output;
+                        const reply = { ...exchange, updates: [], suspicions: [], from };
+                        run({ kind: MembershipInputKind.ExchangeReplied, call, exchange: reply });
+                    }
+                }
+            }
+        }
+
+        it("of one observer never becomes a verdict", () => {
+            suspect(["peer"]);
+            passTime(20_000);
+            expect(membership.entryOf("suspect")?.liveness).toBe(Liveness.Suspect);
+        });
+
+        it("of two observers becomes a verdict after 2 s, so that the suspect has time to refute", () => {
+            suspect(["peer"]);
+            suspect(["other"]);
+            passTime(1_750);
+            expect(membership.entryOf("suspect")?.liveness).toBe(Liveness.Suspect);
+            passTime(500);
+            expect(membership.entryOf("suspect")?.liveness).toBe(Liveness.Dead);
+        });
+
+        it("ends when the suspect raises its revision", () => {
+            suspect(["peer", "other"]);
+            receive([createEntry("suspect", { revision: 2 })]);
+            passTime(5_000);
+            expect(membership.entryOf("suspect")?.liveness).toBe(Liveness.Alive);
+        });
+
+        it("does not follow from calls that were open while this process was paused", () => {
+            run({ kind: MembershipInputKind.Tick });
+            const sent = run({ kind: MembershipInputKind.PushRequested, node: "peer" })
+                .find(output => output.kind === MembershipOutputKind.SendExchange);
+            clock.advance(10_000);
+            run({ kind: MembershipInputKind.ExchangeFailed, call: sent?.call ?? 0 });
+            expect(membership.entryOf("peer")?.liveness).toBe(Liveness.Alive);
+            const next = run({ kind: MembershipInputKind.PushRequested, node: "peer" })
+                .find(output => output.kind === MembershipOutputKind.SendExchange);
+            run({ kind: MembershipInputKind.ExchangeFailed, call: next?.call ?? 0 });
+            expect(membership.entryOf("peer")?.liveness).toBe(Liveness.Suspect);
+        });
+
+        it("makes a named confirmer call the suspect, and nobody else", () => {
+            const exchange = receive([]);
+            const calls = (confirmers: readonly string[]): readonly string[] => run({
+                kind: MembershipInputKind.ExchangeReplied,
+                call: 0,
+                exchange: {
+                    ...exchange,
+                    from: createEntry("peer"),
+                    suspicions: [{ node: "suspect", revision: 1, observers: ["peer"], confirmers }],
+                },
+            }).filter(output => output.kind === MembershipOutputKind.SendExchange).map(output => output.node);
+            expect(calls(["other"])).not.toContain("suspect");
+            expect(calls(["self"])).toContain("suspect");
+        });
+    });
+
+    describe("memory of hosts", () => {
+        it("keeps the highest version beyond the death of its process, for 24 h", () => {
+            receive([createEntry("n", { revision: 5, version: 4 })]);
+            receive([createEntry("n", { revision: 5, version: 4, liveness: Liveness.Dead })]);
+            clock.advance(23 * hour);
+            expect(membership.rememberedVersion("host-of-n")).toBe(4);
+            clock.advance(2 * hour);
+            expect(membership.rememberedVersion("host-of-n")).toBe(0);
+        });
+
+        it("tells a joining host its version even while the table holds its new process", () => {
+            receive([createEntry("n", { revision: 5, version: 4 })]);
+            const entry = createEntry("n2", { host: "host-of-n", incarnation: 2_000 });
+            const outputs = run({ kind: MembershipInputKind.JoinRequested, token: 3, entry });
+            const reply = outputs.find(output => output.kind === MembershipOutputKind.ReplyJoin);
+            expect(reply).toMatchObject({ reply: { kind: JoinReplyKind.Joined, table: { rememberedVersion: 4 } } });
+        });
+
+        it("is bounded and does not grow older copies anew", () => {
+            const hosts = new HostVersions(clock);
+            Array.from({ length: 5_000 }, (_, index) => hosts.remember(`h${index}`, 1));
+            expect(hosts.above(() => 0).length).toBeLessThanOrEqual(2_048);
+            hosts.remember("late", 1, endedRetentionMs - 1_000);
+            clock.advance(2_000);
+            expect(hosts.versionOf("late")).toBe(0);
+        });
+    });
+
+    describe("own targets", () => {
+        const announcement: Announcement = {
+            id: "t",
+            service: "readings",
+            address: "10.0.0.1:9",
+            state: TargetState.Ready,
+            slots: 6,
+            connections: 100,
+        };
+
+        it("become Gone after three missed announcements and not before", () => {
+            run({ kind: MembershipInputKind.TargetAnnounced, announcement });
+            clock.advance(2_900);
+            run({ kind: MembershipInputKind.Tick });
+            expect(membership.ownEntry().targets[0]?.state).toBe(TargetState.Ready);
+            clock.advance(100);
+            const outputs = run({ kind: MembershipInputKind.Tick });
+            expect(membership.ownEntry().targets[0]?.state).toBe(TargetState.Gone);
+            expect(outputs.map(output => output.kind)).toContain(MembershipOutputKind.TargetChanged);
+        });
+
+        it("raise the revision only when something changed, so that announcements cause no gossip", () => {
+            run({ kind: MembershipInputKind.TargetAnnounced, announcement });
+            const { revision } = membership.ownEntry();
+            run({ kind: MembershipInputKind.TargetAnnounced, announcement });
+            expect(membership.ownEntry().revision).toBe(revision);
+        });
+
+        it("stay Draining after a planned stop began, even if a target still announces Ready", () => {
+            run({ kind: MembershipInputKind.TargetAnnounced, announcement });
+            run({ kind: MembershipInputKind.Drain });
+            run({ kind: MembershipInputKind.TargetAnnounced, announcement });
+            expect(membership.ownEntry().targets[0]?.state).toBe(TargetState.Draining);
+        });
+    });
+
+    describe("traffic", () => {
+        function joinFleet(): void {
+            const entries = Array.from({ length: 669 }, (_, index) => createEntry(`node-${index}`, {
+                zone: `zone-${index % 10}`,
+                revision: 3,
+                version: 123,
+                digest: "d".repeat(64),
+            }));
+            receive(entries);
+        }
+
+        it("stays under 1 KB for an idle exchange at 670 nodes in 10 zones", () => {
+            joinFleet();
+            run({ kind: MembershipInputKind.VersionActivated, head: { version: 123, digest: "d".repeat(64) } });
+            let last: Exchange | undefined;
+            for (let sent = 0; sent < 1_000; sent++) {
+                run({ kind: MembershipInputKind.PushRequested, node: "node-7" }).forEach(output => {
+                    last = output.kind === MembershipOutputKind.SendExchange ? output.exchange : last;
+                });
+            }
+            expect(last?.updates).toEqual([]);
+            expect(JSON.stringify(last).length).toBeLessThan(idleBytesLimit);
+        });
+
+        it("pushes a withdrawn target at once to 3 peers of the zone and 1 of another", () => {
+            joinFleet();
+            run({ kind: MembershipInputKind.Drain });
+            const announcement: Announcement = {
+                id: "t",
+                service: "readings",
+                address: "10.0.0.1:9",
+                state: TargetState.Ready,
+                slots: 6,
+                connections: 100,
+            };
+            const pushes = run({ kind: MembershipInputKind.TargetAnnounced, announcement })
+                .filter(output => output.kind === MembershipOutputKind.SendExchange);
+            const zones = pushes.map(push => membership.entryOf(push.node)?.zone === "zone-0");
+            expect(zones).toEqual([true, true, true, false]);
+        });
+
+        it("carries at most 64 whole entries, so that a herd does not fill exchanges", () => {
+            joinFleet();
+            expect(receive([]).updates.length).toBeLessThanOrEqual(64);
+        });
+
+        it("fetches a zone's table only after three exchanges with a lasting difference", () => {
+            receive([createEntry("peer")]);
+            const other = { digests: [{ zone: "zone-5", digest: "0123456789ab" }] };
+            const exchange = receive([], other);
+            const pulls = (): number => run({
+                kind: MembershipInputKind.ExchangeReplied,
+                call: 0,
+                exchange: { ...exchange, ...other, from: createEntry("peer") },
+            }).filter(output => output.kind === MembershipOutputKind.PullZone).length;
+            expect([pulls(), pulls(), pulls()]).toEqual([0, 1, 0]);
+        });
+
+        it("passes a crash report on once as news, so that quarantine does not count it twice", () => {
+            const crashReports = [{ fingerprint: "f", target: "t", at: 5, node: "peer" }];
+            const exchange = { ...receive([]), crashReports, from: createEntry("peer") };
+            const heard = (): number => run({ kind: MembershipInputKind.ExchangeReplied, call: 0, exchange })
+                .filter(output => output.kind === MembershipOutputKind.CrashReportsHeard).length;
+            expect([heard(), heard()]).toEqual([1, 0]);
+            expect(receive([]).crashReports).toEqual(crashReports);
+        });
+    });
+});
