--- a/coordination/dissemination/src/index.ts
+++ b/coordination/dissemination/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+export * from "./dissemination";
+export * from "./limits";
+export * from "./messages";
+export { StartBlocker } from "./floor";
