--- a/bench/src/index.ts
+++ b/bench/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./baseline";
+export * from "./load";
+export * from "./report";
--- /dev/null
+++ b/bench/src/load/arrivals.ts
@@ -0,0 +1,74 @@
+/**
+ * Arrivals of an open-loop run: when each call is due, of which kind it is and where it goes. The same seed gives the
+ * same arrivals, so that two versions are measured with the same load.
+ */
+import type { Milliseconds } from "@bilberrycroft/core.clock";
+import { createSeededRandom, type Random } from "@bilberrycroft/core.random";
+import { getPeakRate, getRate, type RateProfile } from "./profile";
+
+/** One kind of call in the mix. */
+export interface RequestKind {
+    /** Name of the class in the result; kinds with the same name are counted together. */
+    readonly className: string;
+    /** Share of the calls, relative to the other kinds. */
+    readonly weight: number;
+    readonly path: string;
+    readonly method?: "GET" | "POST";
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly body?: string;
+    /** Sent as the call's timeout; a response after it is not goodput. */
+    readonly timeoutMs: Milliseconds;
+    /** Sends a new idempotency key with each call. */
+    readonly idempotencyKey?: boolean;
+}
+
+/** What arrivals are drawn from. */
+export interface ArrivalOptions {
+    readonly targets: readonly string[];
+    readonly profile: RateProfile;
+    readonly requests: readonly RequestKind[];
+    readonly seed: number;
+    readonly durationMs: Milliseconds;
+}
+
+/** One call that is due. */
+export interface Arrival {
+    readonly index: number;
+    /** Since the start of the run. */
+    readonly dueMs: Milliseconds;
+    readonly kind: RequestKind;
+    readonly target: string;
+}
+
+/** Draws the arrivals of a run in order: a Poisson process whose rate follows the profile, by thinning. */
+export function* drawArrivals(options: ArrivalOptions): Generator<Arrival, void, undefined> {
+    const random = createSeededRandom(options.seed);
+    const peakRate = getPeakRate(options.profile);
+    let index = 0;
+    let dueMs = drawGap(random, peakRate);
+    while (dueMs < options.durationMs) {
+        if (random.nextFraction() * peakRate < getRate(options.profile, dueMs)) {
+            const target = options.targets[random.nextInteger(options.targets.length)] ?? "";
+            yield { index, dueMs, kind: drawKind(random, options.requests), target };
+            index++;
+        }
+        dueMs += drawGap(random, peakRate);
+    }
+}
+
+/** Exponentially distributed; infinite at rate 0, which ends the arrivals. */
+function drawGap(random: Random, ratePerSecond: number): Milliseconds {
+    return -Math.log(1 - random.nextFraction()) * 1_000 / ratePerSecond;
+}
+
+function drawKind(random: Random, kinds: readonly RequestKind[]): RequestKind {
+    const totalWeight = kinds.reduce((sum, kind) => sum + kind.weight, 0);
+    let left = random.nextFraction() * totalWeight;
+    for (const kind of kinds) {
+        left -= kind.weight;
+        if (left < 0) {
+            return kind;
+        }
+    }
+    return kinds[kinds.length - 1] as RequestKind;
+}
--- /dev/null
+++ b/bench/src/load/index.ts
@@ -0,0 +1,4 @@
+export * from "./arrivals";
+export * from "./profile";
+export * from "./results";
+export * from "./runLoad";
--- /dev/null
+++ b/bench/src/load/runLoad.ts
@@ -0,0 +1,155 @@
+/**
+ * Open-loop load: calls start when they are due, however slow the responses are, and latency counts from that instant.
+ * A closed loop would slow down together with the system and hide its queues.
+ */
+import { Agent } from "node:http";
+import { setImmediate, setTimeout } from "node:timers/promises";
+import { type Clock, type Milliseconds, SystemClock } from "@bilberrycroft/core.clock";
+import { CallHeader } from "@bilberrycroft/protocol.calls";
+import { v7 as createUuid } from "uuid";
+import { type Arrival, type ArrivalOptions, drawArrivals } from "./arrivals";
+import { type LoadCallEnd, sendLoadCall } from "./client";
+import { type CallRecord, ClassRecorder, LatencyRecorder, LoadFailure, LoadOutcome, type LoadResult } from "./results";
+
+/** Options of `runLoad`. */
+export interface LoadOptions extends ArrivalOptions {
+    /** Calls that are due before this time are sent but not counted; new connections and cold code distort them. */
+    readonly warmupMs?: Milliseconds;
+    /** Connections to each target. */
+    readonly maxConnections?: number;
+    /** Calls in flight; arrivals beyond it are counted as failed, not sent. */
+    readonly maxInFlight?: number;
+    /** Checks that each body ends with the id of its own request, as the target stand-in's do; on by default. */
+    readonly checkRequestIds?: boolean;
+    /** Receives the end of each call, those of the warm-up included. */
+    readonly onCallEnd?: (call: CallRecord) => void;
+    readonly clock?: Clock;
+}
+
+const defaultMaxConnections = 256;
+const defaultMaxInFlight = 10_000;
+/** A system that answers at the very end of the timeout still gets its response through. */
+const abandonMarginMs: Milliseconds = 250;
+/** Timers are up to a millisecond late, so the last stretch before a call is spent polling. */
+const timerMarginMs: Milliseconds = 2;
+
+/** Runs the load and resolves when the last call ended. */
+export async function runLoad(options: LoadOptions): Promise<LoadResult> {
+    const run = new LoadRun(options);
+    for (const arrival of drawArrivals(options)) {
+        await run.waitUntil(arrival.dueMs);
+        run.start(arrival);
+    }
+    await run.finish();
+    return run.summarize();
+}
+
+class LoadRun {
+    private readonly clock: Clock;
+    private readonly startedAt: Milliseconds;
+    private readonly agent: Agent;
+    private readonly total = new ClassRecorder("total");
+    private readonly classes = new Map<string, ClassRecorder>();
+    private readonly lag = new LatencyRecorder();
+    private inFlight = 0;
+    private onIdle: () => void = () => undefined;
+
+    constructor(private readonly options: LoadOptions) {
+        this.clock = options.clock ?? new SystemClock();
+        this.startedAt = this.clock.now();
+        this.agent = new Agent({ keepAlive: true, maxSockets: options.maxConnections ?? defaultMaxConnections });
+        for (const kind of options.requests) {
+            this.classes.set(kind.className, new ClassRecorder(kind.className));
+        }
+    }
+
+    async waitUntil(dueMs: Milliseconds): Promise<void> {
+        let left = dueMs - this.elapsed();
+        while (left > 0) {
+            await (left > timerMarginMs ? setTimeout(left - timerMarginMs) : setImmediate());
+            left = dueMs - this.elapsed();
+        }
+    }
+
+    start(arrival: Arrival): void {
+        const { kind } = arrival;
+        const id = `${this.options.seed}-${arrival.index}`;
+        const idempotencyKey = kind.idempotencyKey === true ? createUuid() : undefined;
+        if (this.isCounted(arrival)) {
+            this.lag.record(this.elapsed() - arrival.dueMs);
+        }
+        if (this.inFlight >= (this.options.maxInFlight ?? defaultMaxInFlight)) {
+            const end = { outcome: LoadOutcome.Failed, failure: LoadFailure.NotSent };
+            return this.record(arrival, id, idempotencyKey, end);
+        }
+        this.inFlight++;
+        sendLoadCall({
+            agent: this.agent,
+            target: arrival.target,
+            path: kind.path,
+            method: kind.method ?? "GET",
+            headers: createHeaders(arrival, id, idempotencyKey),
+            body: kind.body,
+            expectedEnd: this.options.checkRequestIds === false ? undefined : `"request":"${id}"`,
+            abandonAfterMs: kind.timeoutMs + abandonMarginMs,
+        }, end => {
+            this.record(arrival, id, idempotencyKey, end);
+            this.inFlight--;
+            if (this.inFlight === 0) {
+                this.onIdle();
+            }
+        });
+    }
+
+    /** Waits for the calls in flight; each ends by its timeout at the latest. */
+    async finish(): Promise<void> {
+        if (this.inFlight > 0) {
+            await new Promise<void>(resolve => {
+                this.onIdle = resolve;
+            });
+        }
+        this.agent.destroy();
+    }
+
+    summarize(): LoadResult {
+        const { seed } = this.options;
+        const durationMs = this.options.durationMs - (this.options.warmupMs ?? 0);
+        return {
+            seed,
+            durationMs,
+            total: this.total.summarize(durationMs),
+            classes: [...this.classes.values()].map(recorder => recorder.summarize(durationMs)),
+            lag: this.lag.summarize(),
+        };
+    }
+
+    private record(arrival: Arrival, id: string, idempotencyKey: string | undefined, end: LoadCallEnd): void {
+        const { className, timeoutMs } = arrival.kind;
+        const latencyMs = this.elapsed() - arrival.dueMs;
+        const call: CallRecord = { id, className, idempotencyKey, timeoutMs, latencyMs, ...end };
+        if (this.isCounted(arrival)) {
+            this.total.record(call);
+            this.classes.get(className)?.record(call);
+        }
+        this.options.onCallEnd?.(call);
+    }
+
+    private isCounted(arrival: Arrival): boolean {
+        return arrival.dueMs >= (this.options.warmupMs ?? 0);
+    }
+
+    private elapsed(): Milliseconds {
+        return this.clock.now() - this.startedAt;
+    }
+}
+
+function createHeaders(arrival: Arrival, id: string, idempotencyKey: string | undefined): Record<string, string> {
+    const { kind } = arrival;
+    return {
+        ...kind.headers,
+        ...(kind.body === undefined ? {} : { "content-length": String(Buffer.byteLength(kind.body)) }),
+        ...(idempotencyKey === undefined ? {} : { [CallHeader.IdempotencyKey]: idempotencyKey }),
+        [CallHeader.Timeout]: String(kind.timeoutMs),
+        "x-request-id": id,
+    };
+}
--- /dev/null
+++ b/bench/test/baseline.test.ts
@@ -0,0 +1,60 @@
+import { setImmediate } from "node:timers/promises";
+import { startTargetStandin, type TargetStandin } from "@bilberrycroft/standins.target";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { type BaselineProxy, startBaselineProxy } from "../src/baseline";
+
+describe("baseline proxy", () => {
+    let targets: readonly TargetStandin[];
+    let proxy: BaselineProxy;
+
+    beforeEach(async () => {
+        targets = await Promise.all(["t1", "t2"].map(id =>
+            startTargetStandin({ id, service: "s", coldStartMs: 0, longMs: 100_000 })));
+        proxy = await startBaselineProxy({ targets: targets.map(({ address }) => address), timeoutMs: 300 });
+    });
+    afterEach(async () => {
+        await proxy.close();
+        await Promise.all(targets.map(target => target.close()));
+    });
+
+    const send = (path: string, options: RequestInit = {}): Promise<Response> =>
+        fetch(`http://${proxy.address}${path}`, options);
+
+    it("takes the targets in turn, so that the comparison is with plain round robin", async () => {
+        for (let calls = 0; calls < 4; calls++) {
+            expect((await send("/a", { method: "POST", body: "x" })).status).toBe(200);
+        }
+        expect(targets.map(target => target.counters().completed)).toEqual([2, 2]);
+    });
+
+    it("answers 504 after its timeout and stops the run", async () => {
+        expect((await send("/history")).status).toBe(504);
+        while (targets[0]?.counters().cancelled !== 1) {
+            await setImmediate();
+        }
+    });
+
+    it("answers 502 for a target that is away and tries no other", async () => {
+        await targets[0]?.close();
+        expect([(await send("/a")).status, (await send("/a")).status]).toEqual([502, 200]);
+    });
+
+    it("passes a cut response on as cut, so that callers do not take it for a whole one", async () => {
+        targets[0]?.inject({ cutResponses: 1 });
+        const response = await send("/a");
+        await expect(response.text()).rejects.toThrow();
+    });
+
+    it("stops the run of a caller that left", async () => {
+        const abort = new AbortController();
+        const sent = send("/history", { signal: abort.signal });
+        while (targets[0]?.counters().started !== 1) {
+            await setImmediate();
+        }
+        abort.abort();
+        await expect(sent).rejects.toThrow();
+        while (targets[0]?.counters().cancelled !== 1) {
+            await setImmediate();
+        }
+    });
+});
