--- a/transport/store/src/exchange.ts
+++ b/transport/store/src/exchange.ts
@@ -75,9 +75,12 @@
         // Node writes the request as soon as the socket is connected, so from then on the store may have it.
         request.on("socket", socket => {
             connected = !socket.connecting;
-            socket.once("connect", () => {
-                connected = true;
-            });
+            // A reused socket never connects again; a listener on it would stay for the life of the connection.
+            if (socket.connecting) {
+                socket.once("connect", () => {
+                    connected = true;
+                });
+            }
         });
         request.on("error", error => fail(error.message, request.reusedSocket));
         request.on("response", response => collectBody(response, options.maxResponseBytes, fail, finish));
--- a/transport/store/test/httpStore.test.ts
+++ b/transport/store/test/httpStore.test.ts
@@ -4,6 +4,7 @@
 import { type Store, StoreOutcomeKind, WriteConditionKind } from "@bilberrycroft/protocol.store";
 import { VirtualTimeScheduler } from "rxjs";
 import { afterEach, describe, expect, it } from "vitest";
+import { advance, until } from "../../../protocol/store/test/virtualTime";
 import { HttpStore, type HttpStoreOptions } from "../src";
 
 const timeoutMs = 2_000;
@@ -54,18 +55,6 @@
     return outcomes.map(outcome => outcome.kind);
 }
 
-async function until(condition: () => boolean): Promise<void> {
-    while (!condition()) {
-        await setImmediate();
-    }
-}
-
-function advance(scheduler: VirtualTimeScheduler, ms: number): void {
-    scheduler.maxFrames = scheduler.frame + ms;
-    scheduler.flush();
-    scheduler.frame = scheduler.maxFrames;
-}
-
 const { Unavailable, Unknown, Conflict, Done } = StoreOutcomeKind;
 const readsUnavailableWritesUnknown = [Unavailable, Unavailable, Unavailable, Unknown, Unknown];
 const allUnavailable = [Unavailable, Unavailable, Unavailable, Unavailable, Unavailable];
@@ -140,6 +129,21 @@
         });
     });
 
+    it("leaves no listeners on a connection that carries many calls, so that a long run does not leak", async () => {
+        const warnings: Error[] = [];
+        const recordWarning = (warning: Error): number => warnings.push(warning);
+        process.on("warning", recordWarning);
+        const server = await startBrokenServer(socket =>
+            socket.write("HTTP/1.1 404 No\r\ncontent-length: 0\r\n\r\n"));
+        const store = connect({ address: server.address });
+        for (let calls = 0; calls < 30; calls++) {
+            expect((await store.read("a")).kind).toBe(StoreOutcomeKind.Absent);
+        }
+        await setImmediate();
+        process.off("warning", recordWarning);
+        expect(warnings).toEqual([]);
+    });
+
     describe("an idle connection that the store closed", () => {
         const conflict = "HTTP/1.1 412 No\r\ncontent-length: 0\r\n\r\n";
         const object = "HTTP/1.1 200 OK\r\netag: \"r1\"\r\ncontent-length: 1\r\n\r\n1";
