--- a/protocol/store/test/storeContract.ts
+++ b/protocol/store/test/storeContract.ts
@@ -1,7 +1,6 @@
 /**
  * The behaviour that every implementation of `Store` has, as one suite that each implementation runs.
  */
-import { setImmediate } from "node:timers/promises";
 import {
     maxObjectBytes,
     type ReadOutcome,
@@ -15,6 +14,7 @@
 } from "@bilberrycroft/protocol.store";
 import { VirtualTimeScheduler } from "rxjs";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { advance, until } from "./virtualTime";
 
 /** One implementation under test; its delays and watches run on the given scheduler. */
 export interface StoreFixture {
@@ -27,20 +27,6 @@
 const unavailable = expect.objectContaining({ kind: StoreOutcomeKind.Unavailable });
 const unknown = expect.objectContaining({ kind: StoreOutcomeKind.Unknown });
 
-/** Runs virtual timers up to `ms` from now. */
-function advance(scheduler: VirtualTimeScheduler, ms: number): void {
-    scheduler.maxFrames = scheduler.frame + ms;
-    scheduler.flush();
-    scheduler.frame = scheduler.maxFrames;
-}
-
-/** Waits for a condition without a bound of its own; the test's timeout applies. */
-export async function until(condition: () => boolean): Promise<void> {
-    while (!condition()) {
-        await setImmediate();
-    }
-}
-
 function expectDone(outcome: WriteOutcome): string {
     if (outcome.kind !== StoreOutcomeKind.Done) {
         throw new Error(`the write ended with ${outcome.kind}`);
--- a/standins/target/test/node.test.ts
+++ b/standins/target/test/node.test.ts
@@ -1,8 +1,9 @@
 import { CallHeader } from "@bilberrycroft/protocol.calls";
 import { TargetState } from "@bilberrycroft/coordination.membership";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { until } from "../../../protocol/store/test/virtualTime";
 import { innerCallHeader, type TargetStandin } from "../src";
-import { call, type RecordingNode, startRecordingNode, startTestTarget, until, VirtualTime } from "./support";
+import { call, type RecordingNode, startRecordingNode, startTestTarget, VirtualTime } from "./support";
 
 describe("target and the node of its host", () => {
     let time: VirtualTime;
--- a/standins/target/test/support.ts
+++ b/standins/target/test/support.ts
@@ -6,6 +6,7 @@
 import type { AddressInfo } from "node:net";
 import { setImmediate } from "node:timers/promises";
 import { VirtualTimeScheduler } from "rxjs";
+import { advance } from "../../../protocol/store/test/virtualTime";
 import { startTargetStandin, type TargetSettingsInput, type TargetStandin } from "../src";
 
 /** Clock and scheduler that move together. */
@@ -14,9 +15,7 @@
     readonly clock = { now: () => this.scheduler.frame, wallTime: () => this.scheduler.frame };
 
     advance(ms: number): void {
-        this.scheduler.maxFrames = this.scheduler.frame + ms;
-        this.scheduler.flush();
-        this.scheduler.frame = this.scheduler.maxFrames;
+        advance(this.scheduler, ms);
     }
 
     /** Moves time in steps until a promise settles, with real socket work between the steps. */
@@ -34,13 +33,6 @@
     }
 }
 
-/** Waits for a condition without a bound of its own; the test's timeout applies. */
-export async function until(condition: () => boolean): Promise<void> {
-    while (!condition()) {
-        await setImmediate();
-    }
-}
-
 /** Starts a warm target on virtual time, without jitter. */
 export function startTestTarget(
     time: VirtualTime,
--- a/standins/target/test/target.test.ts
+++ b/standins/target/test/target.test.ts
@@ -1,8 +1,11 @@
+import { once } from "node:events";
+import { connect } from "node:net";
 import { CallHeader, CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
 import { TargetState } from "@bilberrycroft/coordination.membership";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { until } from "../../../protocol/store/test/virtualTime";
 import { crashHeader, requestIdHeader, type TargetStandin } from "../src";
-import { call, startTestTarget, type TestCall, until, VirtualTime } from "./support";
+import { call, startTestTarget, type TestCall, VirtualTime } from "./support";
 
 describe("target", () => {
     let time: VirtualTime;
@@ -160,6 +163,9 @@
             await target.close();
             target = await startTestTarget(time, { slots: 2, longMs: 10_000 });
             const long = await callAndWait("/history");
+            // A connection that never carried a request must not hold up the end of the drain.
+            const [host, port] = target.address.split(":");
+            await once(connect(Number(port), host), "connect");
             const drained = target.drain();
             expect(target.state()).toBe(TargetState.Draining);
             const inGrace = await callAndWait("/a");
