Keep long calls of all nodes within a third of a target

Before, every node counted only its own long calls, so 8 nodes held over half of the slots together. Each node now has a deterministic share of the long calls, and goes beyond it only if a recent load report shows that all calls in the target fit into a third of it.

The model's targets now count the answered call in their report, as a server does that writes its headers before the call ends.

--- a/bench/src/dispatchModel/simulation.ts
+++ b/bench/src/dispatchModel/simulation.ts
@@ -152,9 +152,11 @@
                 this.continueWork(work);
                 return;
             }
+            // Response headers are written while the call still counts.
+            const load = this.report();
             this.running--;
             this.fillSlots();
-            work.respond({ ran: true, load: this.report() });
+            work.respond({ ran: true, load });
         });
     }
 
--- a/coordination/admission/src/capacity.ts
+++ b/coordination/admission/src/capacity.ts
@@ -30,8 +30,12 @@
     readonly runTimeClass: RunTimeClass;
     /** Calls of other nodes that are probably in the target. */
     readonly others: number;
+    /** The same without discount; absent without a recent report. */
+    readonly reportedOthers: number | undefined;
     /** Share of its capacity that a new or cold target gets. */
     readonly ramp: number;
+    /** Long calls that all other nodes leave to this node in the target. */
+    readonly longShare: number;
 }
 
 /** Options of `Capacity`. */
@@ -81,13 +85,29 @@
     hasRoom(request: RoomRequest): boolean {
         const { limit, occupancy } = this.capacityOf(request.target);
         const admitted = Math.max(1, Math.floor(limit.calls * request.ramp));
-        if (request.runTimeClass === RunTimeClass.Long && occupancy.long >= shareOfLong(admitted)) {
-            return false;
+        if (request.runTimeClass === RunTimeClass.Long) {
+            return this.hasRoomForLong(request, occupancy, admitted);
         }
         // A target full of other nodes' calls still takes one of each node, so that no node is starved.
         return occupancy.total === 0 || occupancy.total + request.others < admitted;
     }
 
+    /**
+     * The classes of other nodes' calls are unknown. Within its share of the long calls a node needs no knowledge of
+     * them; beyond it, all calls in the target together must fit into the third that long calls may hold.
+     */
+    private hasRoomForLong(request: RoomRequest, occupancy: Occupancy, admitted: number): boolean {
+        if (occupancy.long >= shareOfLong(admitted)) {
+            return false;
+        }
+        const calls = occupancy.total + 1;
+        if (occupancy.long < request.longShare) {
+            return calls + request.others <= admitted;
+        }
+        const { reportedOthers } = request;
+        return reportedOthers !== undefined && calls + reportedOthers <= shareOfLong(admitted);
+    }
+
     started(target: RoutingTarget, runTimeClass: RunTimeClass): void {
         this.count(target, runTimeClass, 1);
     }
--- a/coordination/admission/src/dispatcher.ts
+++ b/coordination/admission/src/dispatcher.ts
@@ -202,7 +202,9 @@
                 target,
                 runTimeClass,
                 others: this.router.othersInTarget(target.id),
+                reportedOthers: this.router.reportedOthersInTarget(target.id),
                 ramp: this.router.rampOf(target.id),
+                longShare: this.router.longShare(target.id),
             }),
         });
     }
--- a/coordination/routing/src/loadReport.ts
+++ b/coordination/routing/src/loadReport.ts
@@ -26,7 +26,7 @@
 /** Latest report of a target and the trust in its reports. */
 export class LoadEstimate {
     private others = 0;
-    private reportedAt: Milliseconds = 0;
+    private reportedAt = Number.NEGATIVE_INFINITY;
     private trust = 1;
 
     /** Takes a report. */
@@ -41,7 +41,12 @@
 
     /** Calls of other nodes that are probably in the target. */
     othersAt(now: Milliseconds): number {
-        const age = now - this.reportedAt;
-        return age >= reportLifetimeMs ? 0 : this.others * this.trust * (1 - age / reportLifetimeMs);
+        const weight = 1 - (now - this.reportedAt) / reportLifetimeMs;
+        return weight <= 0 ? 0 : this.others * this.trust * weight;
+    }
+
+    /** Calls of other nodes by a recent report, without discount; `undefined` if there is none. */
+    reportedOthersAt(now: Milliseconds): number | undefined {
+        return now - this.reportedAt < reportLifetimeMs ? this.others : undefined;
     }
 }
--- a/coordination/routing/src/router.ts
+++ b/coordination/routing/src/router.ts
@@ -23,6 +23,8 @@
 } from "./types";
 
 const sampleSize = 2;
+/** Part of a target's slots that long calls of all nodes may hold. */
+const longPart = 1 / 3;
 const unmeasuredDistanceMs = 1;
 const distanceGain = 0.1;
 /** Expected latency of a class before any target of the service has answered. */
@@ -119,11 +121,21 @@
         return this.records.get(target)?.connectionShare ?? 0;
     }
 
+    /** Long calls that all other nodes leave to this node in a target. */
+    longShare(target: string): number {
+        return this.records.get(target)?.longShare ?? 0;
+    }
+
     /** Calls of other nodes that are probably in a target. */
     othersInTarget(target: string): number {
         return this.records.get(target)?.load.othersAt(this.options.clock.now()) ?? 0;
     }
 
+    /** Calls of other nodes by a recent load report, without discount; `undefined` if there is none. */
+    reportedOthersInTarget(target: string): number | undefined {
+        return this.records.get(target)?.load.reportedOthersAt(this.options.clock.now());
+    }
+
     /** Share of its capacity that a new or cold target gets, from above 0 to 1. */
     rampOf(target: string): number {
         return this.records.get(target)?.ramp(this.options.clock.now()) ?? 1;
@@ -185,8 +197,14 @@
             callers: this.callers,
             rank: this.rank,
         });
+        const longShares = shareConnections({
+            limits: ring.map(record => Math.max(1, Math.floor(record.target.slots * longPart))),
+            callers: this.callers,
+            rank: this.rank,
+        });
         ring.forEach((record, index) => {
             record.connectionShare = shares[index] ?? 0;
+            record.longShare = longShares[index] ?? 0;
         });
     }
 
--- a/coordination/routing/src/targetRecord.ts
+++ b/coordination/routing/src/targetRecord.ts
@@ -37,6 +37,8 @@
     readonly load = new LoadEstimate();
     /** Connections that this node may use. */
     connectionShare = Number.POSITIVE_INFINITY;
+    /** Long calls that all other nodes leave to this node. */
+    longShare = 0;
     suspected = false;
     private readonly classes: Record<RunTimeClass, ClassObservation> = {
         [RunTimeClass.Short]: createClassObservation(),
