--- a/coordination/routing/src/targetRecord.ts
+++ b/coordination/routing/src/targetRecord.ts
@@ -13,7 +13,7 @@
 import { AttemptResult } from "./types";
 import type { AttemptAssessment, EndedAttempt, RoutingTarget, StartedAttempt } from "./types";
 
-const firstTrialWaitMs = 20;
+const firstTrialWaitMs = 100;
 const longestTrialWaitMs = 500;
 /** A target that stayed unsuspected for this long starts again with the first wait. */
 const trialWaitResetMs = 2_000;
