--- a/coordination/dissemination/test/dissemination.test.ts
+++ b/coordination/dissemination/test/dissemination.test.ts
@@ -124,6 +124,19 @@
             expect(node.head().version).toBe(5);
         });
 
+        it("skips versions below a floor that was learned later", () => {
+            readStore(createFakeSnapshot(5));
+            node.handle({
+                kind: DisseminationInputKind.FloorLearned,
+                version: 7,
+                source: ConfigurationSourceKind.Peer,
+            });
+            node.handle(fromPeer("p", createFakeSnapshot(6)));
+            expect(node.head().version).toBe(5);
+            node.handle(fromPeer("p", createFakeSnapshot(7)));
+            expect(node.head().version).toBe(7);
+        });
+
         it("refuses a damaged copy without refusing the version", () => {
             readStore(createFakeSnapshot(5));
             const whole = createFakeSnapshot(6);
