Spread the configuration through zone readers and peers

Cause: in the first version every node watched the store, so its calls grew with the fleet, and nodes found each other only through addresses in their settings. Change: the dissemination decision owns the version in force; a lease task keeps one reader for each zone; a new node joins through the roster of its zone, and the reader of a zone looks up zones that its table does not know and joins one member of each. Ruled out: reading the rosters of all zones at each start, which costs 11 store reads for each returning node.

--- a/bench/src/mesh.ts
+++ b/bench/src/mesh.ts
@@ -47,8 +47,7 @@
         })));
     const hosts: MeshHost[] = [];
     for (const [index, place] of places.entries()) {
-        const peers = hosts.slice(0, 2).map(host => host.node.controlAddress);
-        hosts.push(await startHost({ ...options, ...place, index, store: store.address, peers }));
+        hosts.push(await startHost({ ...options, ...place, index, store: store.address }));
     }
     return {
         store,
@@ -67,7 +66,6 @@
     readonly service: string;
     readonly index: number;
     readonly store: string;
-    readonly peers: readonly string[];
 }
 
 async function startHost(options: HostOptions): Promise<MeshHost> {
@@ -97,7 +95,6 @@
         control: { host: loopback, port: 0 },
         calls: { host: loopback, port: 0 },
         store: options.store,
-        peers: options.peers,
         logLevel: options.logLevel ?? LogLevel.Silent,
     });
 }
--- a/coordination/membership/src/membership.ts
+++ b/coordination/membership/src/membership.ts
@@ -22,6 +22,7 @@
     type Announcement,
     type Exchange,
     type JoinReply,
+    type KnownMember,
     type MembershipInput,
     type MembershipOutput,
     type TableCopy,
@@ -160,6 +161,8 @@
             case MembershipInputKind.CrashReported:
                 crashReports.add(input.reports, crashReportPeers);
                 return;
+            case MembershipInputKind.ZonesDiscovered:
+                return this.joinUnknownZones(input.members);
             case MembershipInputKind.PushRequested:
                 return this.exchangeWith(this.parts.table.get(input.node));
             case MembershipInputKind.Drain:
@@ -257,6 +260,19 @@
         this.emit({ kind: MembershipOutputKind.SendJoin, call, to, entry, timeoutMs: tableTimeoutMs });
     }
 
+    /** Joins through one member of each zone of which the table has no node; the tables merge from both sides. */
+    private joinUnknownZones(members: readonly KnownMember[]): void {
+        const { table, random } = this.parts;
+        const asked = new Set<string | undefined>();
+        for (const { zone, controlAddress } of random.shuffle(members)) {
+            const isUnknown = zone !== undefined && !asked.has(zone) && table.entriesIn(zone).length === 0;
+            if (isUnknown) {
+                asked.add(zone);
+                this.sendJoin(controlAddress);
+            }
+        }
+    }
+
     private answerJoin(token: number, entry: Entry): void {
         this.exchanges.takeUpdate(entry).forEach(output => this.emit(output));
         this.emit({ kind: MembershipOutputKind.ReplyJoin, token, reply: this.exchanges.writeJoinReply(entry) });
--- a/coordination/membership/src/messages.ts
+++ b/coordination/membership/src/messages.ts
@@ -153,6 +153,7 @@
     VersionActivated = "version activated",
     VersionRefused = "version refused",
     CrashReported = "crash reported",
+    ZonesDiscovered = "zones discovered",
     PushRequested = "push requested",
     Drain = "drain",
     Leave = "leave",
@@ -177,6 +178,8 @@
     | { readonly kind: MembershipInputKind.VersionActivated; readonly head: Head }
     | { readonly kind: MembershipInputKind.VersionRefused; readonly refusal: ReportedRefusal }
     | { readonly kind: MembershipInputKind.CrashReported; readonly reports: readonly CrashReport[] }
+    /** Members of other zones, as the store lists them. */
+    | { readonly kind: MembershipInputKind.ZonesDiscovered; readonly members: readonly KnownMember[] }
     /** Asks for an exchange with one node now, for example to carry an eager push. */
     | { readonly kind: MembershipInputKind.PushRequested; readonly node: string }
     /** Planned stop begins: own targets become Draining. */
--- a/daemons/node/src/calls/callTask.ts
+++ b/daemons/node/src/calls/callTask.ts
@@ -61,7 +61,6 @@
     readonly crashes = new Subject<TargetCrash>();
 
     private configuration: VerifiedSnapshot | undefined;
-    private notServing: string | undefined = "no configuration yet";
     private isClosing = false;
     private calls = 0;
     private readonly executions = new Map<string, CallExecution>();
@@ -85,15 +84,9 @@
     /** Carries new calls under another rule set; calls in progress keep theirs. */
     activate(configuration: VerifiedSnapshot): void {
         this.configuration = configuration;
-        this.notServing = undefined;
         this.options.retries.keepRoutes(new Set(configuration.rules.routes.keys()));
     }
 
-    /** Why the node refuses calls; `undefined` while it serves. */
-    get refusalCause(): string | undefined {
-        return this.notServing;
-    }
-
     /** Calls in progress. */
     get callsInProgress(): number {
         return this.calls;
--- a/daemons/node/src/node.ts
+++ b/daemons/node/src/node.ts
@@ -3,8 +3,10 @@
  */
 import { randomInt, randomUUID } from "node:crypto";
 import { Dispatcher } from "@bilberrycroft/coordination.admission";
+import { Dissemination } from "@bilberrycroft/coordination.dissemination";
 import { Draining } from "@bilberrycroft/coordination.draining";
 import { ClaimKeeper } from "@bilberrycroft/coordination.idempotency";
+import { Lease } from "@bilberrycroft/coordination.lease";
 import { type KnownMember, Membership, MembershipInputKind } from "@bilberrycroft/coordination.membership";
 import { Quarantine } from "@bilberrycroft/coordination.quarantine";
 import { Retries } from "@bilberrycroft/coordination.retries";
@@ -12,9 +14,10 @@
 import { type Clock, type Milliseconds, SystemClock } from "@bilberrycroft/core.clock";
 import { createLogger, type Logger } from "@bilberrycroft/core.logger";
 import { createSeededRandom, type Random } from "@bilberrycroft/core.random";
-import { type ControlHandlers, ConfigurationUpdateKind } from "@bilberrycroft/protocol.control";
-import type { Store } from "@bilberrycroft/protocol.store";
+import type { ControlHandlers } from "@bilberrycroft/protocol.control";
+import { type Store, StoreOutcomeKind, zoneKey } from "@bilberrycroft/protocol.store";
 import { CallHistograms } from "@bilberrycroft/state.histograms";
+import { applyDelta, encodeDelta, verifySnapshot } from "@bilberrycroft/state.snapshots";
 import { type Listener, startListener, TargetClient } from "@bilberrycroft/transport.calls";
 import { ControlClient, ControlOutcomeKind, startControlListener } from "@bilberrycroft/transport.control";
 import { HttpStore } from "@bilberrycroft/transport.store";
@@ -26,8 +29,10 @@
 import { ConfigurationReader } from "./tasks/configurationReader";
 import { ConfigurationTask } from "./tasks/configurationTask";
 import { DrainTask } from "./tasks/drainTask";
+import { LeaseTask } from "./tasks/leaseTask";
 import { MembershipTask } from "./tasks/membershipTask";
 import { TargetTask } from "./tasks/targetTask";
+import { listRosterMembers, parseLeaseRecord } from "./tasks/zoneRecord";
 
 const largestSeed = 0x7fffffff;
 const callRequestTimeoutMs: Milliseconds = 60_000;
@@ -84,6 +89,7 @@
     private readonly metrics: NodeMetrics;
     private members!: MembershipTask;
     private targets!: TargetTask;
+    private lease!: LeaseTask;
     private callListener!: Listener;
     private controlListener!: Listener;
     private bytesSent = 0;
@@ -108,7 +114,7 @@
         });
         this.calls = this.createCallTask();
         this.reader = new ConfigurationReader({ store: this.store, random, logger: this.partLogger("store") });
-        this.configuration = new ConfigurationTask({ reader: this.reader, logger: this.partLogger("configuration") });
+        this.configuration = this.createConfigurationTask();
         this.draining = this.createDrainTask();
         this.metrics = this.createMetrics();
     }
@@ -151,9 +157,11 @@
             client: this.targetClient,
             node: this.node,
         });
+        this.lease = this.createLeaseTask();
         this.connectTasks();
         this.members.start();
         this.configuration.start();
+        this.lease.start();
     }
 
     async stop(): Promise<void> {
@@ -167,6 +175,7 @@
 
     private async close(): Promise<void> {
         this.configuration.stop();
+        this.lease.stop();
         this.members.stop();
         this.targets.stop();
         this.claims.stop();
@@ -176,19 +185,74 @@
     }
 
     private connectTasks(): void {
-        this.configuration.activations.subscribe(verified => {
+        const { members, configuration, calls, quarantine } = this;
+        configuration.activations.subscribe(verified => {
             const { version, digest } = verified.snapshot;
-            this.calls.activate(verified);
-            this.members.tell({ kind: MembershipInputKind.VersionActivated, head: { version, digest } });
+            calls.activate(verified);
+            members.tell({ kind: MembershipInputKind.VersionActivated, head: { version, digest } });
         });
-        this.calls.inFlight.subscribe(calls => this.draining.callsInFlight(calls));
-        this.calls.crashes.subscribe(({ target, fingerprints }) => {
+        configuration.refusals.subscribe(refusal =>
+            members.tell({ kind: MembershipInputKind.VersionRefused, refusal }));
+        members.heads.subscribe(heard => configuration.headHeard(heard));
+        members.tableChanges.subscribe(() => {
+            configuration.peersChanged(members.membership.entries());
+            this.lease.membersChanged(members.membership.nodesInZone(this.options.settings.zone));
+        });
+        this.lease.reading.subscribe(isReader => configuration.setReading(isReader));
+        this.lease.discoveries.subscribe(discovered =>
+            members.tell({ kind: MembershipInputKind.ZonesDiscovered, members: discovered }));
+        calls.inFlight.subscribe(count => this.draining.callsInFlight(count));
+        calls.crashes.subscribe(({ target, fingerprints }) => {
             const at = this.clock.wallTime();
-            this.quarantine.targetCrashed({ target, inFlight: fingerprints, at });
+            quarantine.targetCrashed({ target, inFlight: fingerprints, at });
             const reports = fingerprints.map(fingerprint => ({ fingerprint, target, at, node: this.node }));
-            this.members.tell({ kind: MembershipInputKind.CrashReported, reports });
+            members.tell({ kind: MembershipInputKind.CrashReported, reports });
+        });
+        members.crashReports.subscribe(reports => quarantine.mergeReports(reports));
+    }
+
+    /** Members of the zone that the store lists; `undefined` if the store cannot be reached. */
+    private async readRoster(): Promise<readonly KnownMember[] | undefined> {
+        const { zone } = this.options.settings;
+        const outcome = await this.store.read(zoneKey(zone));
+        if (outcome.kind === StoreOutcomeKind.Unavailable) {
+            return undefined;
+        }
+        const record = outcome.kind === StoreOutcomeKind.Done ? parseLeaseRecord(outcome.object.value) : undefined;
+        const members = record === undefined ? [] : listRosterMembers(record, zone);
+        const others = members.filter(member => member.controlAddress !== this.controlAddress);
+        this.configuration.rosterLearned(others.length);
+        return others;
+    }
+
+    private createConfigurationTask(): ConfigurationTask {
+        const { clock, random, node, reader } = this;
+        return new ConfigurationTask({
+            dissemination: new Dissemination({
+                clock,
+                random,
+                node,
+                zone: this.options.settings.zone,
+                snapshots: { verifySnapshot, encodeDelta, applyDelta },
+            }),
+            reader,
+            client: this.control,
+            random,
+            logger: this.partLogger("configuration"),
+            self: () => ({ node, controlAddress: this.controlAddress }),
+        });
+    }
+
+    private createLeaseTask(): LeaseTask {
+        const { clock, random, node, store, controlAddress } = this;
+        const { zone } = this.options.settings;
+        return new LeaseTask({
+            lease: new Lease({ clock, random, zone, node, controlAddress }),
+            store,
+            zone,
+            logger: this.partLogger("lease"),
+            isZoneKnown: other => this.members.membership.nodesInZone(other).length > 0,
         });
-        this.members.crashReports.subscribe(reports => this.quarantine.mergeReports(reports));
     }
 
     private createCallTask(): CallTask {
@@ -226,7 +290,7 @@
             }),
             client: this.control,
             logger: this.partLogger("membership"),
-            readRoster: async () => [],
+            readRoster: () => this.readRoster(),
         });
     }
 
@@ -236,7 +300,7 @@
             logger: this.partLogger("draining"),
             actions: {
                 announceDraining: () => this.members.tell({ kind: MembershipInputKind.Drain }),
-                handOverLease: async () => undefined,
+                handOverLease: () => this.lease.handOver(),
                 tellPeers: () => this.leave(),
                 stopListening: async () => {
                     this.calls.refuseNewCalls();
@@ -257,14 +321,14 @@
             exchange: exchange => this.members.exchange(exchange),
             join: entry => this.members.join(entry),
             zoneTable: zone => this.members.zoneTable(zone),
-            fetchConfiguration: async () => ({ kind: ConfigurationUpdateKind.Nothing }),
-            pushConfiguration: async () => undefined,
+            fetchConfiguration: baseVersion => this.configuration.fetch(baseVersion),
+            pushConfiguration: push => this.configuration.push(push),
             claimOutcome: async claim => this.claims.ownedOutcome(claim),
             status: async () => createStatusReport({
                 membership: this.members.membership,
                 inForce: this.configuration.current,
-                heardHead: undefined,
-                notServing: this.calls.refusalCause,
+                heardHead: this.configuration.heardHead,
+                notServing: this.configuration.startBlocker,
                 storeReachable: this.reader.storeReachable.value,
             }),
             metrics: () => this.metrics.render(),
--- /dev/null
+++ b/daemons/node/src/tasks/leaseTask.ts
@@ -0,0 +1,186 @@
+/**
+ * Task of the zone reader's lease: carries messages between the lease decision and the zone's object in the store.
+ */
+import {
+    type Lease,
+    LeaseConditionKind,
+    type LeaseInput,
+    LeaseInputKind,
+    LeaseOutcomeKind,
+    type LeaseOutput,
+    LeaseOutputKind,
+    type LeaseReadOutcome,
+    type LeaseRecord,
+    type LeaseWriteOutcome,
+    summarizeZone,
+} from "@bilberrycroft/coordination.lease";
+import type { Entry, KnownMember } from "@bilberrycroft/coordination.membership";
+import type { Milliseconds } from "@bilberrycroft/core.clock";
+import { assertNever } from "@bilberrycroft/core.errors";
+import type { Logger } from "@bilberrycroft/core.logger";
+import {
+    type Store,
+    StoreOutcomeKind,
+    type WriteCondition,
+    WriteConditionKind,
+    zoneKey,
+    zonePrefix,
+} from "@bilberrycroft/protocol.store";
+import { interval, Subject, type Subscription } from "rxjs";
+import { listRosterMembers, parseLeaseRecord } from "./zoneRecord";
+
+const tickMs: Milliseconds = 250;
+// One list for each zone and interval: 10 zones cost the store two calls a second.
+const discoveryIntervalMs: Milliseconds = 5_000;
+
+/** Options of a `LeaseTask`. */
+export interface LeaseTaskOptions {
+    readonly lease: Lease;
+    readonly store: Store;
+    readonly zone: string;
+    readonly logger: Logger;
+    /** Whether the membership table has a node of the zone. */
+    isZoneKnown(zone: string): boolean;
+}
+
+/** Owns a node's part in the lease of its zone. */
+export class LeaseTask {
+    /** Whether this node is the reader of its zone, whenever it changes. */
+    readonly reading = new Subject<boolean>();
+    /** Members of zones of which the membership table has no node. */
+    readonly discoveries = new Subject<readonly KnownMember[]>();
+    private readonly inbox = new Subject<LeaseInput>();
+    private readonly subscriptions: Subscription[] = [];
+    private readonly released: Promise<void>;
+    private release: () => void = () => undefined;
+
+    constructor(private readonly options: LeaseTaskOptions) {
+        this.released = new Promise(resolve => {
+            this.release = resolve;
+        });
+        this.subscriptions.push(this.inbox.subscribe(input => this.process(input)));
+    }
+
+    /** Starts to contend. */
+    start(): void {
+        this.subscriptions.push(
+            interval(tickMs).subscribe(() => this.inbox.next({ kind: LeaseInputKind.Tick })),
+            interval(discoveryIntervalMs).subscribe(() => void this.discoverZones()),
+            this.reading.subscribe(() => void this.discoverZones()),
+        );
+    }
+
+    /** Takes the live entries of the zone. */
+    membersChanged(entries: readonly Entry[]): void {
+        this.inbox.next({
+            kind: LeaseInputKind.MembersChanged,
+            members: entries.map(({ node, controlAddress }) => ({ node, controlAddress })),
+            summary: summarizeZone(entries),
+        });
+    }
+
+    /** Hands the lease over; resolves when the store is no longer needed. */
+    handOver(): Promise<void> {
+        this.inbox.next({ kind: LeaseInputKind.Stop });
+        return this.released;
+    }
+
+    /** Ends the task. */
+    stop(): void {
+        this.subscriptions.forEach(subscription => subscription.unsubscribe());
+    }
+
+    private process(input: LeaseInput): void {
+        for (const output of this.options.lease.handle(input)) {
+            this.perform(output);
+        }
+    }
+
+    private perform(output: LeaseOutput): void {
+        const { logger, zone } = this.options;
+        switch (output.kind) {
+            case LeaseOutputKind.ReadLease:
+                return void this.read(output.call);
+            case LeaseOutputKind.WriteLease:
+                return void this.write(output);
+            case LeaseOutputKind.StartReading:
+                logger.info("Node reads the store for its zone.", { zone, term: output.term });
+                return this.reading.next(true);
+            case LeaseOutputKind.StopReading:
+                logger.info("Node no longer reads the store for its zone.", { zone, reason: output.reason });
+                return this.reading.next(false);
+            case LeaseOutputKind.Released:
+                return this.release();
+            default:
+                return assertNever(output);
+        }
+    }
+
+    private async read(call: number): Promise<void> {
+        const outcome = await this.readRecord();
+        this.inbox.next({ kind: LeaseInputKind.LeaseRead, call, outcome });
+    }
+
+    private async readRecord(): Promise<LeaseReadOutcome> {
+        const outcome = await this.options.store.read(zoneKey(this.options.zone));
+        switch (outcome.kind) {
+            case StoreOutcomeKind.Done: {
+                const { revision, value } = outcome.object;
+                return { kind: LeaseOutcomeKind.Done, revision, record: parseLeaseRecord(value) };
+            }
+            case StoreOutcomeKind.Absent:
+                return { kind: LeaseOutcomeKind.Absent };
+            case StoreOutcomeKind.Unavailable:
+                return { kind: LeaseOutcomeKind.Unavailable };
+            default:
+                return assertNever(outcome);
+        }
+    }
+
+    /** Looks up zones that the table does not know; only the zone's reader does, so the store's load stays constant. */
+    private async discoverZones(): Promise<void> {
+        if (!this.options.lease.isActing()) {
+            return;
+        }
+        const listed = await this.options.store.list(zonePrefix);
+        if (listed.kind !== StoreOutcomeKind.Done) {
+            return;
+        }
+        const zones = listed.objects.map(object => object.key.slice(zonePrefix.length));
+        const unknown = zones.filter(zone => zone !== this.options.zone && !this.options.isZoneKnown(zone));
+        const members = await Promise.all(unknown.map(zone => this.readMembers(zone)));
+        if (unknown.length > 0) {
+            this.discoveries.next(members.flat());
+        }
+    }
+
+    private async readMembers(zone: string): Promise<readonly KnownMember[]> {
+        const outcome = await this.options.store.read(zoneKey(zone));
+        const record = outcome.kind === StoreOutcomeKind.Done ? parseLeaseRecord(outcome.object.value) : undefined;
+        return record === undefined ? [] : listRosterMembers(record, zone);
+    }
+
+    private async write(output: Extract<LeaseOutput, { kind: LeaseOutputKind.WriteLease }>): Promise<void> {
+        const condition: WriteCondition = output.condition.kind === LeaseConditionKind.Absent
+            ? { kind: WriteConditionKind.Absent }
+            : { kind: WriteConditionKind.Revision, revision: output.condition.revision };
+        const outcome = await this.writeRecord(output.record, condition);
+        this.inbox.next({ kind: LeaseInputKind.LeaseWritten, call: output.call, outcome });
+    }
+
+    private async writeRecord(record: LeaseRecord, condition: WriteCondition): Promise<LeaseWriteOutcome> {
+        const outcome = await this.options.store.write(zoneKey(this.options.zone), JSON.stringify(record), condition);
+        switch (outcome.kind) {
+            case StoreOutcomeKind.Done:
+                return { kind: LeaseOutcomeKind.Done, revision: outcome.revision };
+            case StoreOutcomeKind.Conflict:
+                return { kind: LeaseOutcomeKind.Conflict };
+            case StoreOutcomeKind.Unavailable:
+                return { kind: LeaseOutcomeKind.Unavailable };
+            case StoreOutcomeKind.Unknown:
+                return { kind: LeaseOutcomeKind.Unknown };
+            default:
+                return assertNever(outcome);
+        }
+    }
+}
--- /dev/null
+++ b/daemons/node/src/tasks/zoneRecord.ts
@@ -0,0 +1,47 @@
+/**
+ * The object that a zone has in the store, as the node reads it: lease, roster and summary.
+ */
+import type { LeaseRecord } from "@bilberrycroft/coordination.lease";
+import type { KnownMember } from "@bilberrycroft/coordination.membership";
+import { z } from "zod";
+
+const maxMembers = 64;
+const maxGroups = 64;
+const nameSchema = z.string().max(500);
+const countSchema = z.number().int().min(0);
+
+const recordSchema = z.object({
+    holder: nameSchema.optional(),
+    address: nameSchema,
+    term: countSchema,
+    renewal: countSchema,
+    members: z.array(z.object({ node: nameSchema, controlAddress: nameSchema })).max(maxMembers),
+    summary: z.object({
+        nodes: countSchema,
+        versions: z.array(z.object({ version: countSchema, nodes: countSchema })).max(maxGroups),
+        refusals: z.array(z.object({
+            version: countSchema,
+            line: countSchema,
+            requester: nameSchema,
+            reason: nameSchema,
+            nodes: countSchema,
+        })).max(maxGroups),
+    }),
+});
+
+/** Parses the object; `undefined` if it does not hold a valid record. */
+export function parseLeaseRecord(value: string): LeaseRecord | undefined {
+    try {
+        const checked = recordSchema.safeParse(JSON.parse(value));
+        return checked.success ? { ...checked.data, holder: checked.data.holder } : undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
+
+/** Nodes of the zone that a joining node may ask: the writer of the record and the sample of members. */
+export function listRosterMembers(record: LeaseRecord, zone: string): readonly KnownMember[] {
+    const addresses = new Set([record.address, ...record.members.map(member => member.controlAddress)]);
+    return [...addresses].map(controlAddress => ({ controlAddress, zone }));
+}
--- a/protocol/control/src/messages.ts
+++ b/protocol/control/src/messages.ts
@@ -2,30 +2,17 @@
  * Messages between nodes beside those of membership, and what operators read from a node.
  */
 import type { Milliseconds } from "@bilberrycroft/core.clock";
+import type { Peer } from "@bilberrycroft/coordination.dissemination";
 import type { OwnedOutcomeKind, RecordedResponse } from "@bilberrycroft/coordination.idempotency";
 import type { Entry } from "@bilberrycroft/coordination.membership";
-import type { ConfigurationHead, Delta, Snapshot } from "@bilberrycroft/state.snapshots";
+import type { ConfigurationHead, Delta } from "@bilberrycroft/state.snapshots";
 
-/** Kinds of `ConfigurationUpdate`. */
-export enum ConfigurationUpdateKind {
-    Delta = "delta",
-    Snapshot = "snapshot",
-    /** The sender has nothing newer than the receiver asked for. */
-    Nothing = "nothing",
-}
-
-/** A newer version of the configuration. */
-export type ConfigurationUpdate =
-    | { readonly kind: ConfigurationUpdateKind.Delta; readonly delta: Delta }
-    | { readonly kind: ConfigurationUpdateKind.Snapshot; readonly snapshot: Snapshot }
-    | { readonly kind: ConfigurationUpdateKind.Nothing };
-
-/** A version pushed by a node that just activated it. */
+/** A version that the sender has just activated. */
 export interface ConfigurationPush {
-    /** Control address of the sender, for a fetch when the delta's base is missing. */
-    readonly controlAddress: string;
-    readonly node: string;
-    readonly update: ConfigurationUpdate;
+    readonly from: Peer;
+    readonly head: ConfigurationHead;
+    /** From the version that the sender had before; absent if it had none, or if the delta is as large as the text. */
+    readonly delta?: Delta;
 }
 
 /** What the node that claimed a key knows of its call, with the response in the form of the record. */
--- a/protocol/control/src/router.ts
+++ b/protocol/control/src/router.ts
@@ -1,26 +1,25 @@
 /**
  * The tRPC router of a node's control listener. It checks every message by schema and hands it to the handlers.
  */
+import type { FetchReply } from "@bilberrycroft/coordination.dissemination";
 import type { Entry, Exchange, JoinReply, TableCopy } from "@bilberrycroft/coordination.membership";
 import { initTRPC } from "@trpc/server";
 import { z } from "zod";
 import {
     type ClaimAnswer,
     type ConfigurationPush,
-    type ConfigurationUpdate,
-    ConfigurationUpdateKind,
     type DrainReport,
     type StatusReport,
 } from "./messages";
-import { deltaSchema, entrySchema, exchangeSchema, nameSchema, snapshotSchema, versionSchema } from "./schemas";
+import { entrySchema, exchangeSchema, nameSchema, pushSchema, versionSchema } from "./schemas";
 
 /** What a node does with the messages of its control listener. */
 export interface ControlHandlers {
     exchange(exchange: Exchange): Promise<Exchange>;
     join(entry: Entry): Promise<JoinReply>;
     zoneTable(zone: string): Promise<TableCopy>;
-    /** A version newer than the receiver's base, as a delta if the base is still held. */
-    fetchConfiguration(base: { readonly version: number; readonly digest: string }): Promise<ConfigurationUpdate>;
+    /** A version newer than `baseVersion`, as a delta if the base is still held. */
+    fetchConfiguration(baseVersion: number): Promise<FetchReply>;
     pushConfiguration(push: ConfigurationPush): Promise<void>;
     claimOutcome(claim: { readonly key: string; readonly attempt: string }): Promise<ClaimAnswer>;
     status(): Promise<StatusReport>;
@@ -32,14 +31,6 @@
 
 const trpc = initTRPC.create();
 
-const updateSchema = z.discriminatedUnion("kind", [
-    z.object({ kind: z.literal(ConfigurationUpdateKind.Delta), delta: deltaSchema }),
-    z.object({ kind: z.literal(ConfigurationUpdateKind.Snapshot), snapshot: snapshotSchema }),
-    z.object({ kind: z.literal(ConfigurationUpdateKind.Nothing) }),
-]);
-
-const pushSchema = z.object({ controlAddress: nameSchema, node: nameSchema, update: updateSchema });
-const baseSchema = z.object({ version: versionSchema, digest: nameSchema });
 const claimSchema = z.object({ key: nameSchema, attempt: nameSchema });
 
 /** Parser that checks by schema and gives the immutable type of the message. */
@@ -58,7 +49,7 @@
         exchange: procedure.input(exchangeInput).mutation(({ input }) => handlers.exchange(input)),
         join: procedure.input(joinInput).mutation(({ input }) => handlers.join(input)),
         zoneTable: procedure.input(nameSchema).mutation(({ input }) => handlers.zoneTable(input)),
-        fetchConfiguration: procedure.input(baseSchema).mutation(({ input }) => handlers.fetchConfiguration(input)),
+        fetchConfiguration: procedure.input(versionSchema).mutation(({ input }) => handlers.fetchConfiguration(input)),
         pushConfiguration: procedure.input(pushInput).mutation(({ input }) => handlers.pushConfiguration(input)),
         claimOutcome: procedure.input(claimSchema).mutation(({ input }) => handlers.claimOutcome(input)),
         status: procedure.query(() => handlers.status()),
--- a/protocol/control/src/schemas.ts
+++ b/protocol/control/src/schemas.ts
@@ -1,6 +1,7 @@
 /**
  * Schemas of the data that travels between nodes. Every bound limits what a faulty peer can make a node hold.
  */
+import { FetchReplyKind } from "@bilberrycroft/coordination.dissemination";
 import { JoinReplyKind, Liveness, TargetState } from "@bilberrycroft/coordination.membership";
 import { z } from "zod";
 
@@ -39,6 +40,18 @@
     })).max(maxEdits),
 });
 
+export const fetchReplySchema = z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal(FetchReplyKind.Delta), delta: deltaSchema }),
+    z.object({ kind: z.literal(FetchReplyKind.Snapshot), snapshot: snapshotSchema }),
+    z.object({ kind: z.literal(FetchReplyKind.Nothing) }),
+]);
+
+export const pushSchema = z.object({
+    from: z.object({ node: nameSchema, controlAddress: addressSchema }),
+    head: headSchema,
+    delta: deltaSchema.optional(),
+});
+
 export const targetSchema = z.object({
     id: nameSchema,
     service: nameSchema,
--- a/transport/control/src/client.ts
+++ b/transport/control/src/client.ts
@@ -1,15 +1,16 @@
 /**
  * Control calls to other nodes. A call never throws; it ends as an outcome.
  */
+import type { FetchReply } from "@bilberrycroft/coordination.dissemination";
 import type { Entry, Exchange, JoinReply, TableCopy } from "@bilberrycroft/coordination.membership";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import {
     type ClaimAnswer,
     type ConfigurationPush,
-    type ConfigurationUpdate,
     type ControlRouter,
     type DrainReport,
     exchangeSchema,
+    fetchReplySchema,
     joinReplySchema,
     type StatusReport,
     tableCopySchema,
@@ -80,9 +81,12 @@
 
     fetchConfiguration(
         address: string,
-        base: { readonly version: number; readonly digest: string },
-    ): Promise<ControlOutcome<ConfigurationUpdate>> {
-        return settle(this.clientOf(address).fetchConfiguration.mutate(base));
+        baseVersion: number,
+        timeoutMs: Milliseconds,
+    ): Promise<ControlOutcome<FetchReply>> {
+        const signal = AbortSignal.timeout(timeoutMs);
+        const call = this.clientOf(address).fetchConfiguration.mutate(baseVersion, { signal });
+        return settle(call, fetchReplySchema) as Promise<ControlOutcome<FetchReply>>;
     }
 
     pushConfiguration(address: string, push: ConfigurationPush): Promise<ControlOutcome<void>> {
