--- /dev/null
+++ b/coordination/idempotency/src/decisions.ts
@@ -0,0 +1,34 @@
+/**
+ * Final decisions on calls.
+ */
+import type { Milliseconds } from "@bilberrycroft/core.clock";
+import { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
+import type { TargetResponse } from "./response";
+import { type ClaimDecision, ClaimOutputKind, type OwnedOutcome, OwnedOutcomeKind } from "./types";
+
+/** Refuses a call of which this request certainly ran nothing. */
+export function refuseAsNotRun(callId: string, reason: CallReason, retryAfterMs?: Milliseconds): ClaimDecision {
+    return { kind: ClaimOutputKind.Refuse, callId, reason, outcome: CallOutcome.NotRun, retryAfterMs };
+}
+
+/** Refuses a call whose claim cannot be committed. */
+export function refuseUnavailable(callId: string, retryAfterMs: Milliseconds): ClaimDecision {
+    return refuseAsNotRun(callId, CallReason.ClaimUnavailable, retryAfterMs);
+}
+
+/** Refuses a call that an earlier request may have run. */
+export function refuseAsUnknown(callId: string, reason: CallReason): ClaimDecision {
+    return { kind: ClaimOutputKind.Refuse, callId, reason, outcome: CallOutcome.Unknown, retryAfterMs: undefined };
+}
+
+/** Responds with the response of an earlier run. */
+export function replay(callId: string, response: TargetResponse): ClaimDecision {
+    return { kind: ClaimOutputKind.Replay, callId, response };
+}
+
+/** Responds with what is known of an attempt that is over. */
+export function decideByOutcome(callId: string, outcome: OwnedOutcome): ClaimDecision {
+    return outcome.kind === OwnedOutcomeKind.Ran
+        ? replay(callId, outcome.response)
+        : refuseAsUnknown(callId, CallReason.AnswerLost);
+}
