--- a/coordination/idempotency/src/committer.ts
+++ b/coordination/idempotency/src/committer.ts
@@ -5,7 +5,13 @@
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import { assertNever } from "@bilberrycroft/core.errors";
 import type { Random } from "@bilberrycroft/core.random";
-import { StoreOutcomeKind, type WriteCondition, WriteConditionKind } from "@bilberrycroft/protocol.store";
+import {
+    type ReadOutcome,
+    StoreOutcomeKind,
+    type WriteCondition,
+    WriteConditionKind,
+    type WriteOutcome,
+} from "@bilberrycroft/protocol.store";
 import {
     type Claim,
     type ClaimMerge,
@@ -16,7 +22,7 @@
     type ShardOperation,
     ShardOperationKind,
 } from "./shard";
-import { ClaimOutputKind, type ShardRead, type ShardRequest, type ShardWritten } from "./types";
+import { ClaimOutputKind, type ShardRequest } from "./types";
 
 /** Time between two writes of a shard. Under load it collects claims; the first write after it is not delayed. */
 export const minWriteIntervalMs: Milliseconds = 50;
@@ -132,38 +138,40 @@
         this.outcomes.set(operation.attempt, operation);
     }
 
-    /** Takes in a completion; `undefined` if it belongs to no request in flight. */
-    readCompleted(read: ShardRead): CommitterStep | undefined {
-        const inFlight = this.inFlight?.written === undefined ? this.takeInFlight(read.request) : undefined;
-        if (inFlight === undefined) {
+    /** Takes in the completion of the read in flight; `undefined` if none is. */
+    readCompleted(outcome: ReadOutcome): CommitterStep | undefined {
+        const inFlight = this.inFlight;
+        if (inFlight === undefined || inFlight.written !== undefined) {
             return undefined;
         }
-        switch (read.outcome.kind) {
+        this.inFlight = undefined;
+        switch (outcome.kind) {
             case StoreOutcomeKind.Done: {
-                const shard = ClaimShard.parse(read.outcome.object.value);
+                const shard = ClaimShard.parse(outcome.object.value);
                 return shard === undefined
                     ? this.readFailed()
-                    : this.readSucceeded({ revision: read.outcome.object.revision, shard, request: inFlight.request });
+                    : this.readSucceeded({ revision: outcome.object.revision, shard, request: inFlight.request });
             }
             case StoreOutcomeKind.Absent:
                 return this.readSucceeded({ revision: undefined, shard: ClaimShard.empty, request: inFlight.request });
             case StoreOutcomeKind.Unavailable:
                 return this.readFailed();
             default:
-                return assertNever(read.outcome);
+                return assertNever(outcome);
         }
     }
 
-    /** Takes in a completion; `undefined` if it belongs to no request in flight. */
-    writeCompleted(written: ShardWritten): CommitterStep | undefined {
-        const inFlight = this.inFlight?.written === undefined ? undefined : this.takeInFlight(written.request);
+    /** Takes in the completion of the write in flight; `undefined` if none is. */
+    writeCompleted(outcome: WriteOutcome): CommitterStep | undefined {
+        const inFlight = this.inFlight;
         if (inFlight?.written === undefined) {
             return undefined;
         }
-        switch (written.outcome.kind) {
+        this.inFlight = undefined;
+        switch (outcome.kind) {
             case StoreOutcomeKind.Done:
                 this.failedWrites = 0;
-                this.see({ revision: written.outcome.revision, shard: inFlight.written, request: inFlight.request });
+                this.see({ revision: outcome.revision, shard: inFlight.written, request: inFlight.request });
                 return this.settle(inFlight);
             case StoreOutcomeKind.Unknown:
                 // The write may still take effect. A read decides, and finds claims whose calls have been given up.
@@ -173,7 +181,7 @@
             case StoreOutcomeKind.Unavailable:
                 return this.writeFailed();
             default:
-                return assertNever(written.outcome);
+                return assertNever(outcome);
         }
     }
 
@@ -241,14 +249,6 @@
         return { kind: ClaimOutputKind.WriteShard, request, key: this.options.key, value, condition };
     }
 
-    private takeInFlight(request: number): InFlightRequest | undefined {
-        const inFlight = this.inFlight?.request === request ? this.inFlight : undefined;
-        if (inFlight !== undefined) {
-            this.inFlight = undefined;
-        }
-        return inFlight;
-    }
-
     private readSucceeded(seen: SeenShard): CommitterStep {
         this.failedReads = 0;
         this.readBackDue = false;
--- a/coordination/idempotency/src/keeper.ts
+++ b/coordination/idempotency/src/keeper.ts
@@ -94,18 +94,18 @@
 
     /** Takes in the completion of `ReadShard`. */
     readCompleted(read: ShardRead): readonly ClaimOutput[] {
-        return this.completed(read.request, committer => committer.readCompleted(read));
+        return this.completed(read.request, committer => committer.readCompleted(read.outcome));
     }
 
     /** Takes in the completion of `WriteShard`. */
     writeCompleted(written: ShardWritten): readonly ClaimOutput[] {
-        return this.completed(written.request, committer => committer.writeCompleted(written));
+        return this.completed(written.request, committer => committer.writeCompleted(written.outcome));
     }
 
     /** Takes in the reply to `AskOwner`. */
     ownerReplied(reply: OwnerReply): readonly ClaimOutput[] {
         const waiting = this.calls.get(reply.callId);
-        // A late reply on an earlier holder must not replace the claim of the present one.
+        // A late reply on an earlier holder says nothing of the present one.
         if (waiting?.phase.kind !== CallPhase.AskingOwner || waiting.phase.holder.attempt !== reply.attempt) {
             return [];
         }
--- a/coordination/idempotency/src/shard.ts
+++ b/coordination/idempotency/src/shard.ts
@@ -204,6 +204,7 @@
             const createdAt = timestampOfKey(key);
             if (createdAt < oldestKept) {
                 this.remove(key);
+                this.prunedThrough = Math.max(this.prunedThrough, createdAt);
             }
         }
     }
