Count only replies as heard peers when a node starts without the store

The property test found a step back: a request that a peer wrote before a host's process was replaced reached the new process and counted as one of the two peers that vouch for its floor, without the version remembered since. Replies to calls of the new process can not be that old. HeadHeard now says whether it came in a reply.

--- a/coordination/dissemination/src/dissemination.ts
+++ b/coordination/dissemination/src/dissemination.ts
@@ -119,7 +119,8 @@
             case DisseminationInputKind.DeltaReceived:
                 return this.takeReply(input.call, () => this.takeDelta(input.delta, input.from));
             case DisseminationInputKind.HeadHeard:
-                return this.takeHead(input.from, input.head, input.rememberedVersion);
+                this.floor.notePeer(input);
+                return this.takeHead(input.from, input.head);
             case DisseminationInputKind.FloorLearned:
                 return this.takeFloor(input.version, input.source);
             case DisseminationInputKind.StoreUnavailable:
@@ -144,8 +145,7 @@
         }
     }
 
-    private takeHead(from: Peer, head: ConfigurationHead, rememberedVersion: number): void {
-        this.floor.notePeer(from.node, head.version, rememberedVersion);
+    private takeHead(from: Peer, head: ConfigurationHead): void {
         this.peers.noteHead(from, head);
         this.noteConflict(head, from);
     }
--- a/coordination/dissemination/src/floor.ts
+++ b/coordination/dissemination/src/floor.ts
@@ -3,6 +3,9 @@
  * force, and learns it from the store or from peers before it serves anything.
  */
 import { peersForStart } from "./limits";
+import type { DisseminationInput, DisseminationInputKind } from "./messages";
+
+type HeardHead = Extract<DisseminationInput, { readonly kind: DisseminationInputKind.HeadHeard }>;
 
 /** Why a node can not activate its first version yet. */
 export enum StartBlocker {
@@ -50,13 +53,16 @@
         this.otherMembers = otherMembers;
     }
 
-    /** A peer told its version in force and what it remembers for this host. */
-    notePeer(node: string, versionInForce: number, rememberedVersion: number): void {
+    /**
+     * A peer told its version in force and what it remembers for this host. Only a reply counts as heard: a request can
+     * have been written before this process started, and then lacks what its predecessor had in force last.
+     */
+    notePeer({ from, head, rememberedVersion, inReply }: HeardHead): void {
         this.raise(rememberedVersion);
-        this.highestInForce = Math.max(this.highestInForce, versionInForce);
+        this.highestInForce = Math.max(this.highestInForce, head.version);
         // A peer without a version in force has just started itself and vouches for nothing.
-        if (versionInForce > 0 && this.heardPeers.size < peersForStart) {
-            this.heardPeers.add(node);
+        if (inReply && head.version > 0 && this.heardPeers.size < peersForStart) {
+            this.heardPeers.add(from.node);
         }
     }
 
--- a/coordination/dissemination/src/messages.ts
+++ b/coordination/dissemination/src/messages.ts
@@ -89,6 +89,8 @@
         readonly from: Peer;
         readonly head: ConfigurationHead;
         readonly rememberedVersion: number;
+        /** Whether the message replies to a call of this process, and was therefore written after its start. */
+        readonly inReply: boolean;
     }
     | {
         /** From the store: the version that a read returned, 0 if there is none yet. */
--- a/coordination/dissemination/test/dissemination.test.ts
+++ b/coordination/dissemination/test/dissemination.test.ts
@@ -50,10 +50,15 @@
         return { kind: DisseminationInputKind.SnapshotReceived, snapshot, source, call };
     }
 
-    function headOf(name: string, version: number, rememberedVersion: number = 0): DisseminationInput {
+    function headOf(
+        name: string,
+        version: number,
+        rememberedVersion: number = 0,
+        inReply: boolean = true,
+    ): DisseminationInput {
         const { digest } = createFakeSnapshot(version);
         const head = { version, digest: version === 0 ? "" : digest };
-        return { kind: DisseminationInputKind.HeadHeard, from: peerNamed(name), head, rememberedVersion };
+        return { kind: DisseminationInputKind.HeadHeard, from: peerNamed(name), head, rememberedVersion, inReply };
     }
 
     const storeUnavailable = { kind: DisseminationInputKind.StoreUnavailable } as const;
@@ -80,6 +85,12 @@
             expect(node.head().version).toBe(5);
         });
 
+        it("does not count requests of peers, which may have been written for the host's earlier process", () => {
+            [storeUnavailable, headOf("p", 4, 0, false), headOf("q", 4, 0, false), fromPeer("p", createFakeSnapshot(4))]
+                .forEach(input => node.handle(input));
+            expect(node.startBlocker()).toBe(StartBlocker.TooFewPeers);
+        });
+
         it("with the store down accepts one peer if the roster lists only one", () => {
             node.handle({ kind: DisseminationInputKind.RosterLearned, otherMembers: 1 });
             [storeUnavailable, headOf("p", 5), fromPeer("p", createFakeSnapshot(5))].forEach(input => node.handle(input));
@@ -153,8 +164,8 @@
             expect(run(fromPeer("p", bad), DisseminationOutputKind.ReportRefused).length).toBe(1);
             expect(run(fromPeer("q", bad), DisseminationOutputKind.ReportRefused).length).toBe(0);
             const head = { version: 6, digest: bad.digest };
-            const heard = { kind: DisseminationInputKind.HeadHeard, from: peerNamed("p"), head, rememberedVersion: 0 };
-            expect(run(heard as DisseminationInput, DisseminationOutputKind.Fetch)).toEqual([]);
+            const heard = { ...headOf("p", 6), head } as DisseminationInput;
+            expect(run(heard, DisseminationOutputKind.Fetch)).toEqual([]);
             expect(node.head().version).toBe(5);
         });
 
--- a/coordination/dissemination/test/property.test.ts
+++ b/coordination/dissemination/test/property.test.ts
@@ -3,7 +3,7 @@
 import { World } from "./world";
 
 const seeds = [101, 202, 303, 404];
-const runsPerSeed = 250;
+const runsPerSeed = 500;
 const stepsPerRun = 120;
 
 /** What happens next in a run. */
@@ -40,6 +40,8 @@
     StepKind.Deliver,
     StepKind.Repeat,
     StepKind.Restart,
+    StepKind.Restart,
+    StepKind.StoreDown,
     StepKind.ReadStoreLate,
 ];
 const rareKinds = [
--- a/coordination/dissemination/test/world.ts
+++ b/coordination/dissemination/test/world.ts
@@ -37,6 +37,8 @@
     readonly input: DisseminationInput;
     /** Runs instead of a delivery that is not possible, for calls that report their failure. */
     readonly lost?: () => void;
+    /** Runs after the delivery. */
+    readonly then?: (receiver: Process) => void;
 }
 
 /** The system under test with its history. */
@@ -92,14 +94,16 @@
         this.start(host);
     }
 
-    /** One exchange between two hosts: both learn heads and memory. */
+    /** One exchange: whatever process runs on the other host takes the request and replies to its sender. */
     exchange(from: string, to: string): void {
         if (from !== to) {
-            const [left, right] = [this.processOn(from), this.processOn(to)];
-            const messages = [this.headFor(left, right), this.headFor(right, left)];
-            shareMemory(left, right);
-            shareMemory(right, left);
-            messages.forEach(letter => this.letters.push(letter));
+            const caller = this.processOn(from);
+            this.letters.push({
+                host: to,
+                process: undefined,
+                input: this.headFor(caller, to, false),
+                then: receiver => this.replyToExchange(receiver, caller),
+            });
         }
     }
 
@@ -153,7 +157,8 @@
         [first, second].forEach(host => this.readStore(host));
         this.storeUp = false;
         others.forEach(host => this.readStore(host));
-        for (let round = 0; round < 40; round++) {
+        const isSettled = (): boolean => this.hosts().every(host => this.versionOf(host) === this.accepted.length);
+        for (let round = 0; round < 40 && !isSettled(); round++) {
             this.hosts().forEach(from => this.hosts().forEach(to => this.exchange(from, to)));
             while (this.letters.length > 0) {
                 this.deliverAt(0);
@@ -194,16 +199,23 @@
             : { kind: DisseminationInputKind.StoreUnavailable };
     }
 
-    private headFor(from: Process, to: Process): Letter {
+    private replyToExchange(receiver: Process, caller: Process): void {
+        shareMemory(caller, receiver);
+        this.letters.push({
+            host: caller.host,
+            process: caller,
+            input: this.headFor(receiver, caller.host, true),
+            then: () => shareMemory(receiver, caller),
+        });
+    }
+
+    private headFor(from: Process, host: string, inReply: boolean): DisseminationInput {
         return {
-            host: to.host,
-            process: to,
-            input: {
-                kind: DisseminationInputKind.HeadHeard,
-                from: peerNamed(from.node),
-                head: from.decision.head(),
-                rememberedVersion: from.memory.get(to.host) ?? 0,
-            },
+            kind: DisseminationInputKind.HeadHeard,
+            from: peerNamed(from.node),
+            head: from.decision.head(),
+            rememberedVersion: from.memory.get(host) ?? 0,
+            inReply,
         };
     }
 
@@ -218,6 +230,7 @@
             return;
         }
         process.decision.handle(letter.input).forEach(output => this.carry(process, output));
+        letter.then?.(process);
     }
 
     private carry(process: Process, output: DisseminationOutput): void {
@@ -230,7 +243,7 @@
                     host: hostOf(peer.node),
                     process: undefined,
                     input: output.delta === undefined
-                        ? { kind: DisseminationInputKind.HeadHeard, from, head: output.head, rememberedVersion: 0 }
+                        ? this.headFor(process, hostOf(peer.node), false)
                         : { kind: DisseminationInputKind.DeltaReceived, delta: output.delta, from },
                 }));
             case DisseminationOutputKind.Fetch: {
--- a/coordination/membership/src/exchanges.ts
+++ b/coordination/membership/src/exchanges.ts
@@ -63,9 +63,9 @@
     }
 
     /** Takes an exchange, request or reply. */
-    absorb(exchange: Exchange): Absorbed {
+    absorb(exchange: Exchange, inReply: boolean): Absorbed {
         const { queue, own, contacts, crashReports } = this.parts;
-        const outputs = [...this.noteContact(exchange.from, exchange.head, exchange.rememberedVersion)];
+        const outputs = [...this.noteContact(exchange, inReply)];
         if (exchange.receiverUnknown) {
             queue.add(own.entry.node);
         }
@@ -117,7 +117,7 @@
         copy.remembered.forEach(({ host, version, ageMs }) => table.hosts.remember(host, version, ageMs));
         copy.ended.forEach(({ entry, endedForMs }) => this.mergeForeign(entry, endedForMs));
         const merged = copy.entries.flatMap(entry => this.mergeForeign(entry).outputs);
-        return [...merged, ...this.noteContact(copy.from, copy.head, copy.rememberedVersion)];
+        return [...merged, ...this.noteContact(copy, true)];
     }
 
     /** Sends on what the writer of a zone's copy lacked. */
@@ -231,7 +231,8 @@
         return !isSpreading && comparison.compare(own, their);
     }
 
-    private noteContact(from: Sender, head: Head, rememberedVersion: number): readonly MembershipOutput[] {
+    private noteContact(message: Exchange | TableCopy, inReply: boolean): readonly MembershipOutput[] {
+        const { from, head } = message;
         const { table, contacts, own, flags, clock } = this.parts;
         const self = own.entry;
         flags.lastContactAt = clock.now();
@@ -244,7 +245,8 @@
             from: from.node,
             controlAddress: from.controlAddress,
             head,
-            rememberedVersion: Math.max(rememberedVersion, table.hosts.versionOf(self.host)),
+            rememberedVersion: Math.max(message.rememberedVersion, table.hosts.versionOf(self.host)),
+            inReply,
         }];
     }
 
--- a/coordination/membership/src/membership.ts
+++ b/coordination/membership/src/membership.ts
@@ -141,7 +141,7 @@
                 return this.answerExchange(input.token, input.exchange);
             case MembershipInputKind.ExchangeReplied:
                 this.calls.close(input.call);
-                return this.absorb(input.exchange);
+                return this.absorb(input.exchange, true);
             case MembershipInputKind.ZoneRequested:
                 this.emit({
                     kind: MembershipOutputKind.ReplyZone,
@@ -286,13 +286,13 @@
     }
 
     private answerExchange(token: number, exchange: Exchange): void {
-        this.absorb(exchange);
+        this.absorb(exchange, false);
         const reply = this.exchanges.write(exchange.from, exchange.digests);
         this.emit({ kind: MembershipOutputKind.ReplyExchange, token, exchange: reply });
     }
 
-    private absorb(exchange: Exchange): void {
-        const { outputs, suspectsToCall, zonesToPull } = this.exchanges.absorb(exchange);
+    private absorb(exchange: Exchange, inReply: boolean): void {
+        const { outputs, suspectsToCall, zonesToPull } = this.exchanges.absorb(exchange, inReply);
         outputs.forEach(output => this.emit(output));
         suspectsToCall.forEach(node => this.exchangeWith(this.parts.table.getLive(node)));
         zonesToPull.forEach(zone => this.pullZone(exchange.from.controlAddress, zone));
--- a/coordination/membership/src/messages.ts
+++ b/coordination/membership/src/messages.ts
@@ -245,6 +245,8 @@
         readonly head: Head;
         /** Version that the peer remembers for this node's host. */
         readonly rememberedVersion: number;
+        /** Whether the peer wrote this in reply to a call of this process, and therefore after its start. */
+        readonly inReply: boolean;
     }
     | { readonly kind: MembershipOutputKind.CrashReportsHeard; readonly reports: readonly CrashReport[] }
     | { readonly kind: MembershipOutputKind.JoinFinished; readonly peers: number }
