Quarantine requests that crash their targets

Change: Quarantine holds a fingerprint after crashes of two distinct targets, the second met by a call that started after the first crash, for 60 s, doubled up to 15 min, then one trial. Completions clear a fingerprint on every node that gets the report. Targets that die together count once. A fingerprint that completed in the 10 min before is first held for 1 to 3 s. Nodes that saw no crash spread their trials over a further hold, so that not each of them crashes a target.

--- a/coordination/quarantine/src/index.ts
+++ b/coordination/quarantine/src/index.ts
@@ -1,1 +1,6 @@
-export {};
+/**
+ * Requests that crash their targets.
+ */
+export * from "./fingerprint";
+export * from "./quarantine";
+export * from "./types";
--- /dev/null
+++ b/coordination/quarantine/test/quarantine.test.ts
@@ -0,0 +1,242 @@
+import { describe, expect, it } from "vitest";
+import { ManualClock } from "@bilberrycroft/core.clock";
+import { maxFingerprints, maxSharedReports, Quarantine, QuarantineDecisionKind as Kind } from "@bilberrycroft/coordination.quarantine";
+
+const minute = 60_000;
+
+/** Two nodes that exchange reports when a test says so. */
+function createNodes() {
+    const clock = new ManualClock();
+    const [one, two] = ["one", "two"].map(node => new Quarantine({ node, clock })) as [Quarantine, Quarantine];
+    /** Lets time pass and then a target crash with calls of this age. */
+    const crash = (target: string, fingerprints = ["bad"], options: { by?: Quarantine; ageMs?: number } = {}) => {
+        clock.advance(100);
+        const inFlight = fingerprints.map(fingerprint => ({ fingerprint, ageMs: options.ageMs ?? 50 }));
+        (options.by ?? one).targetCrashed({ target, inFlight, at: clock.wallTime() });
+    };
+    const exchange = () => {
+        const fromTwo = two.reportsToShare();
+        two.mergeReports(one.reportsToShare());
+        one.mergeReports(fromTwo);
+    };
+    const kindOf = (fingerprint = "bad", node = one) => node.check(fingerprint).kind;
+    /** Time until a trial is allowed, to 100 ms. */
+    const timeToTrial = (node = one) => {
+        const start = clock.now();
+        while (kindOf("bad", node) === Kind.Held) {
+            clock.advance(100);
+        }
+        return clock.now() - start;
+    };
+    return { clock, one, two, crash, exchange, kindOf, timeToTrial };
+}
+
+describe("quarantine", () => {
+    describe("fingerprint", () => {
+        const request = { method: "GET", path: "/a", tenant: "b", bodyDigest: "c" };
+        const { one } = createNodes();
+
+        it.each([
+            { ...request, method: "PUT" },
+            { ...request, path: "/ab", tenant: "" },
+            { ...request, tenant: "bc", bodyDigest: "" },
+        ])("differs for %o, which must not be held for another request", other => {
+            expect(one.fingerprint({ ...request })).toBe(one.fingerprint(request));
+            expect(one.fingerprint(other)).not.toBe(one.fingerprint(request));
+        });
+    });
+
+    describe("hold", () => {
+        it("starts with the second target that a call crashes, which bounds the targets that one request can take", () => {
+            const { crash, kindOf } = createNodes();
+            crash("a");
+            expect(kindOf()).toBe(Kind.Allowed);
+            crash("a");
+            expect(kindOf()).toBe(Kind.Allowed);
+            crash("b");
+            expect([kindOf(), kindOf("other")]).toEqual([Kind.Held, Kind.Allowed]);
+        });
+
+        it("doubles with each failed trial up to 15 min, and lets one trial through each time", () => {
+            const { crash, kindOf, timeToTrial } = createNodes();
+            crash("a");
+            const holds = ["b", "c", "b", "b", "b", "b", "b", "b", "b", "b", "b"].map(target => {
+                crash(target);
+                const hold = timeToTrial();
+                expect(kindOf()).toBe(Kind.Held);
+                return Math.floor(hold / minute);
+            });
+            expect(holds).toEqual([1, 2, 4, 8, 15, 15, 15, 15, 15, 15, 15]);
+        });
+
+        it("ends when the trial completes, and allows another trial when nothing is heard of the first", () => {
+            const { clock, one, crash, kindOf, timeToTrial } = createNodes();
+            crash("a");
+            crash("b");
+            timeToTrial();
+            clock.advance(29_999);
+            expect(kindOf()).toBe(Kind.Held);
+            clock.advance(1);
+            expect(kindOf()).toBe(Kind.Trial);
+            one.completed("bad");
+            expect(kindOf()).toBe(Kind.Allowed);
+            crash("c");
+            crash("d");
+            expect(timeToTrial()).toBeLessThanOrEqual(3_000);
+        });
+    });
+
+    describe("harmless calls", () => {
+        it("clears a call in flight beside the crashing one when it completes on another target", () => {
+            const { one, crash, kindOf } = createNodes();
+            crash("a", ["bad", "good"]);
+            one.completed("good");
+            crash("b", ["bad", "good"]);
+            expect([kindOf("bad"), kindOf("good")]).toEqual([Kind.Held, Kind.Allowed]);
+        });
+
+        it("counts targets that die together once, so that a rack failure does not block what ran on it", () => {
+            const { one, crash, kindOf } = createNodes();
+            crash("a", ["bad"], { ageMs: 500 });
+            crash("b", ["bad"], { ageMs: 500 });
+            one.targetCrashed({ target: "c", inFlight: [{ fingerprint: "bad", ageMs: 400 }], at: 1_700_000_000_210 });
+            expect(kindOf()).toBe(Kind.Allowed);
+        });
+
+        it("never blocks a frequent lookup that is in flight at every crash for more than seconds", () => {
+            const { clock, one, crash, kindOf, timeToTrial } = createNodes();
+            one.completed("bad");
+            crash("a");
+            crash("b");
+            expect(kindOf()).toBe(Kind.Held);
+            expect(timeToTrial()).toBeLessThanOrEqual(3_000);
+            clock.advance(10);
+            one.completed("bad");
+            expect(kindOf()).toBe(Kind.Allowed);
+        });
+
+        it("holds a call for long that completed once and now crashes every target", () => {
+            const { one, crash, timeToTrial } = createNodes();
+            one.completed("bad");
+            crash("a");
+            crash("b");
+            timeToTrial();
+            crash("c");
+            expect(timeToTrial()).toBeGreaterThanOrEqual(2 * minute);
+        });
+
+        it("is held as any other call when its last completion is 10 min old", () => {
+            const { clock, one, crash, timeToTrial } = createNodes();
+            one.completed("bad");
+            clock.advance(10 * minute);
+            crash("a");
+            crash("b");
+            expect(timeToTrial()).toBeGreaterThanOrEqual(minute);
+        });
+
+        it("is cleared on a node that held it by a call that completes on another", () => {
+            const { clock, two, crash, exchange, kindOf } = createNodes();
+            crash("a");
+            crash("b");
+            exchange();
+            expect(kindOf("bad", two)).toBe(Kind.Held);
+            clock.advance(10);
+            two.completed("bad");
+            exchange();
+            expect(kindOf()).toBe(Kind.Allowed);
+        });
+
+        it.each([["completion", true], ["crashes", false]])(
+            "is allowed when the report of the %s arrives last",
+            (_name, completionLast) => {
+                const { clock, one, two, crash, kindOf } = createNodes();
+                crash("a");
+                crash("b");
+                const crashes = one.reportsToShare();
+                clock.advance(10);
+                one.completed("bad");
+                const [completion] = one.reportsToShare();
+                const reports = completion === undefined ? [] : [completion];
+                two.mergeReports(completionLast ? crashes : reports);
+                two.mergeReports(completionLast ? reports : crashes);
+                expect(kindOf("bad", two)).toBe(Kind.Allowed);
+            },
+        );
+
+        it("is cleared by a completion that came before the report of the crash", () => {
+            const { clock, one, two, crash, exchange, kindOf } = createNodes();
+            crash("a");
+            crash("b");
+            clock.advance(10);
+            two.completed("bad");
+            exchange();
+            exchange();
+            expect([kindOf(), kindOf("bad", two)]).toEqual([Kind.Allowed, Kind.Allowed]);
+            expect(one.reportsToShare().length).toBeGreaterThan(0);
+        });
+    });
+
+    describe("reports", () => {
+        it("join crashes that different nodes saw, as a caller may resend through any node", () => {
+            const { one, two, crash, exchange, kindOf } = createNodes();
+            crash("a", ["bad"], { by: one });
+            crash("b", ["bad"], { by: two });
+            exchange();
+            expect([kindOf(), kindOf("bad", two)]).toEqual([Kind.Held, Kind.Held]);
+        });
+
+        it("count one crash once that several nodes saw", () => {
+            const { clock, one, two, crash, exchange, timeToTrial } = createNodes();
+            crash("a");
+            crash("b");
+            two.targetCrashed({ target: "b", inFlight: [{ fingerprint: "bad", ageMs: 20 }], at: clock.wallTime() + 5 });
+            exchange();
+            expect(timeToTrial(one)).toBeLessThan(2 * minute);
+        });
+
+        it("let nodes that saw no crash try later, so that not every node loses a target to its trial", () => {
+            const { clock, one, crash, timeToTrial } = createNodes();
+            crash("a");
+            crash("b");
+            const late = Array.from({ length: 20 }, (_unused, index) => new Quarantine({ node: `n${index}`, clock }));
+            late.forEach(node => node.mergeReports(one.reportsToShare()));
+            timeToTrial();
+            const trials = late.filter(node => node.check("bad").kind === Kind.Trial);
+            expect(trials.length).toBeLessThanOrEqual(2);
+        });
+
+        it("are passed on for 10 s, newest first and bounded, and are taken in once", () => {
+            const { clock, two, one, crash, exchange } = createNodes();
+            crash("a", Array.from({ length: 40 }, (_unused, index) => `f${index}`));
+            expect(one.reportsToShare()).toHaveLength(maxSharedReports);
+            expect(one.reportsToShare()[0]).toMatchObject({ fingerprint: "f39", target: "a", node: "one" });
+            exchange();
+            clock.advance(9_999);
+            exchange();
+            expect(two.reportsToShare()).toHaveLength(maxSharedReports);
+            clock.advance(1);
+            expect([one, two].map(node => node.reportsToShare())).toEqual([[], []]);
+        });
+
+        it("expire after 30 min, and old ones are not taken in again", () => {
+            const { clock, one, two, crash, kindOf } = createNodes();
+            crash("a");
+            crash("b");
+            const reports = one.reportsToShare();
+            clock.advance(30 * minute);
+            two.mergeReports(reports);
+            expect([kindOf(), kindOf("bad", two), two.reportsToShare().length]).toEqual([Kind.Allowed, Kind.Allowed, 0]);
+        });
+
+        it("are kept for 1,024 fingerprints at most, the ones heard of last", () => {
+            const { crash, kindOf } = createNodes();
+            crash("a");
+            crash("b");
+            expect(kindOf()).toBe(Kind.Held);
+            crash("c", Array.from({ length: maxFingerprints - 1 }, (_unused, index) => `f${index}`));
+            expect(kindOf()).toBe(Kind.Held);
+            crash("d", ["one more"]);
+            expect(kindOf()).toBe(Kind.Allowed);
+        });
+    });
+});
