--- a/coordination/idempotency/test/keeper.test.ts
+++ b/coordination/idempotency/test/keeper.test.ts
@@ -11,6 +11,7 @@
     ClaimOutputKind as Out,
     ClaimShard,
     maxKeptBodyBytes,
+    maxWaitingClaimsOfShard,
     type OwnedOutcome,
     OwnedOutcomeKind as Owned,
     type ShardRequest,
@@ -157,6 +158,14 @@
             expect(one.stored().claims().map(claim => claim.key)).toEqual([otherKey, key]);
         });
 
+        it("refuses calls at once when too many wait for a shard, which bounds its memory", () => {
+            const host = new Host();
+            for (let call = 0; call <= maxWaitingClaimsOfShard; call++) {
+                host.begin(`${call}`, createKey(epoch, 1, call * 1_000));
+            }
+            expect(host.decisions).toMatchObject([notRun(CallReason.Overloaded)]);
+        });
+
         it("ignores a completion that belongs to no request in flight", () => {
             const host = new Host().begin("a").answer();
             host.take(host.keeper.writeCompleted({ request: 77, outcome: { kind: Store.Done, revision: "x" } }));
