Share quarantine reports between nodes and let a stop wait for claims

Cause: membership carried crash reports of its own shape, and the quarantine in use held nothing back; a stopping node could end before the outcomes of its claimed calls were recorded. Change: exchanges carry the reports of the quarantine decision, crashes and completions; calls carry their age at the crash; a stop waits up to 5 s for claims that are not recorded yet. Ruled out: a second queue in the call task. Membership already passes each report on once.

--- a/coordination/membership/src/crashes.ts
+++ b/coordination/membership/src/crashes.ts
@@ -1,12 +1,12 @@
 /**
  * Crash reports on their way through the fleet. Membership carries them and does not read them.
  */
+import type { QuarantineReport } from "@bilberrycroft/coordination.quarantine";
 import type { Random } from "@bilberrycroft/core.random";
 import { maxCrashReports, maxHeldCrashReports } from "./limits";
-import type { CrashReport } from "./messages";
 
 interface HeldReport {
-    readonly report: CrashReport;
+    readonly report: QuarantineReport;
     remaining: number;
 }
 
@@ -20,7 +20,7 @@
     }
 
     /** Takes reports; those that are new. */
-    add(reports: readonly CrashReport[], peers: number): readonly CrashReport[] {
+    add(reports: readonly QuarantineReport[], peers: number): readonly QuarantineReport[] {
         const fresh = reports.filter(report => !this.held.has(keyOf(report)));
         fresh.forEach(report => this.held.set(keyOf(report), { report, remaining: peers }));
         this.dropOldest();
@@ -28,7 +28,7 @@
     }
 
     /** Reports for the next message, in random order so that none starves. */
-    take(): readonly CrashReport[] {
+    take(): readonly QuarantineReport[] {
         const waiting = [...this.held.values()].filter(held => held.remaining > 0);
         if (waiting.length === 0) {
             return [];
@@ -48,6 +48,6 @@
     }
 }
 
-function keyOf(report: CrashReport): string {
-    return `${report.fingerprint} ${report.target} ${report.node} ${report.at}`;
+function keyOf(report: QuarantineReport): string {
+    return JSON.stringify(report);
 }
--- a/coordination/membership/src/messages.ts
+++ b/coordination/membership/src/messages.ts
@@ -1,6 +1,7 @@
 /**
  * Messages of membership: plain data that travels between nodes, and the inputs and outputs of the decision.
  */
+import type { QuarantineReport } from "@bilberrycroft/coordination.quarantine";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import type { Entry, ReportedRefusal, Target, TargetState } from "./types";
 
@@ -24,15 +25,6 @@
     readonly digest: string;
 }
 
-/** A target that died with a call in flight; membership carries it without reading it. */
-export interface CrashReport {
-    readonly fingerprint: string;
-    readonly target: string;
-    /** Wall time. */
-    readonly at: Milliseconds;
-    readonly node: string;
-}
-
 /** Doubt about one revision of a node's entry. */
 export interface Suspicion {
     readonly node: string;
@@ -66,7 +58,7 @@
     readonly updates: readonly Entry[];
     readonly versions: readonly VersionReport[];
     readonly suspicions: readonly Suspicion[];
-    readonly crashReports: readonly CrashReport[];
+    readonly crashReports: readonly QuarantineReport[];
     /** Zones that the sender can not reach; only read within the sender's zone. */
     readonly unreachableZones: readonly string[];
     /** Highest version that the sender remembers for the receiver's host; 0 if none. */
@@ -177,7 +169,7 @@
     | { readonly kind: MembershipInputKind.TargetAnnounced; readonly announcement: Announcement }
     | { readonly kind: MembershipInputKind.VersionActivated; readonly head: Head }
     | { readonly kind: MembershipInputKind.VersionRefused; readonly refusal: ReportedRefusal }
-    | { readonly kind: MembershipInputKind.CrashReported; readonly reports: readonly CrashReport[] }
+    | { readonly kind: MembershipInputKind.CrashReported; readonly reports: readonly QuarantineReport[] }
     /** Members of other zones, as the store lists them. */
     | { readonly kind: MembershipInputKind.ZonesDiscovered; readonly members: readonly KnownMember[] }
     /** Asks for an exchange with one node now, for example to carry an eager push. */
@@ -251,7 +243,7 @@
         /** Whether the peer wrote this in reply to a call of this process, and therefore after its start. */
         readonly inReply: boolean;
     }
-    | { readonly kind: MembershipOutputKind.CrashReportsHeard; readonly reports: readonly CrashReport[] }
+    | { readonly kind: MembershipOutputKind.CrashReportsHeard; readonly reports: readonly QuarantineReport[] }
     | { readonly kind: MembershipOutputKind.JoinFinished; readonly peers: number }
     /** A later process of the same host took over the host's entry; this one should stop. */
     | { readonly kind: MembershipOutputKind.Superseded; readonly by: string };
--- a/coordination/membership/test/membership.test.ts
+++ b/coordination/membership/test/membership.test.ts
@@ -1,3 +1,4 @@
+import { QuarantineReportKind } from "@bilberrycroft/coordination.quarantine";
 import { beforeEach, describe, expect, it } from "vitest";
 import { ManualClock } from "@bilberrycroft/core.clock";
 import { createSeededRandom } from "@bilberrycroft/core.random";
@@ -340,7 +341,8 @@
         });
 
         it("passes a crash report on once as news, so that quarantine does not count it twice", () => {
-            const crashReports = [{ fingerprint: "f", target: "t", at: 5, node: "peer" }];
+            const kind = QuarantineReportKind.Crash as const;
+            const crashReports = [{ kind, fingerprint: "f", target: "t", at: 5, startedAt: 4, node: "peer" }];
             const exchange = { ...receive([]), crashReports, from: createEntry("peer") };
             const heard = (): number => run({ kind: MembershipInputKind.ExchangeReplied, call: 0, exchange })
                 .filter(output => output.kind === MembershipOutputKind.CrashReportsHeard).length;
--- a/daemons/node/src/calls/callExecution.ts
+++ b/daemons/node/src/calls/callExecution.ts
@@ -48,11 +48,21 @@
     /** Takes what the dispatcher decided for other calls. */
     dispatch(events: readonly DispatchEvent[]): void;
     /** Takes a connection that broke with the call in flight. */
-    connectionBroke(target: string, address: string, fingerprint: string): void;
+    connectionBroke(broken: BrokenConnection): void;
     /** Counts an additional attempt. */
     countAttempt(kind: AdditionalAttempt): void;
 }
 
+/** A connection that broke with a call in flight. */
+export interface BrokenConnection {
+    readonly target: string;
+    /** `host:port` of the target. */
+    readonly address: string;
+    readonly fingerprint: string;
+    /** Time since the attempt was sent. */
+    readonly ageMs: Milliseconds;
+}
+
 /** Why a call was sent more than once. */
 export enum AdditionalAttempt {
     Retry = "retry",
@@ -240,7 +250,12 @@
         const { target } = inFlight.start;
         this.attempts.delete(target.id);
         if (result.kind === AttemptResultKind.Broken && !this.streaming) {
-            services.connectionBroke(target.id, target.address, call.fingerprint);
+            services.connectionBroke({
+                target: target.id,
+                address: target.address,
+                fingerprint: call.fingerprint,
+                ageMs: services.clock.now() - inFlight.startedAt,
+            });
         }
         const completion: Completion = {
             callId: call.submitted.callId,
--- a/daemons/node/src/calls/callTask.ts
+++ b/daemons/node/src/calls/callTask.ts
@@ -6,7 +6,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { connect } from "node:net";
 import { type DispatchEvent, type Dispatcher, type TenantShare } from "@bilberrycroft/coordination.admission";
-import { type Quarantine, QuarantineDecisionKind } from "@bilberrycroft/coordination.quarantine";
+import { type CallAtCrash, type Quarantine, QuarantineDecisionKind, type QuarantineReport } from "@bilberrycroft/coordination.quarantine";
 import type { Retries } from "@bilberrycroft/coordination.retries";
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import type { Logger } from "@bilberrycroft/core.logger";
@@ -16,13 +16,21 @@
 import type { VerifiedSnapshot } from "@bilberrycroft/state.snapshots";
 import { BodyOutcomeKind, readBody, type TargetClient } from "@bilberrycroft/transport.calls";
 import { interval, Subject, type Subscription } from "rxjs";
-import { type AcceptedCall, AdditionalAttempt, CallExecution, type CallResult, type CallServices } from "./callExecution";
+import {
+    type AcceptedCall,
+    AdditionalAttempt,
+    type BrokenConnection,
+    CallExecution,
+    type CallResult,
+    type CallServices,
+} from "./callExecution";
 import { type CallHead, readCallHead } from "./callRequest";
 import type { Claims } from "./claims";
 import { sendOwnResponse } from "./responses";
 
 // Queued calls are started by the completions of others; the tick only expires them and repairs a missed start.
 const tickMs: Milliseconds = 20;
+const reportIntervalMs: Milliseconds = 500;
 const crashProbeDelayMs: Milliseconds = 20;
 const crashProbeTimeoutMs: Milliseconds = 500;
 const anonymousTenant = "anonymous";
@@ -42,23 +50,18 @@
     readonly logger: Logger;
 }
 
-/** A target that crashed with calls in flight. */
-export interface TargetCrash {
-    readonly target: string;
-    readonly fingerprints: readonly string[];
-}
-
 interface BrokenConnections {
     readonly address: string;
-    readonly fingerprints: Set<string>;
+    readonly brokeAt: Milliseconds;
+    readonly calls: CallAtCrash[];
 }
 
 /** Carries the calls of a node. */
 export class CallTask {
     /** Number of calls in flight, whenever it changes. */
     readonly inFlight = new Subject<number>();
-    /** Targets that were found dead after connections broke. */
-    readonly crashes = new Subject<TargetCrash>();
+    /** Crashes and completions of suspected requests, for the other nodes. */
+    readonly quarantineReports = new Subject<readonly QuarantineReport[]>();
 
     private configuration: VerifiedSnapshot | undefined;
     private isClosing = false;
@@ -66,7 +69,7 @@
     private readonly executions = new Map<string, CallExecution>();
     private readonly broken = new Map<string, BrokenConnections>();
     private readonly services: CallServices;
-    private readonly ticking: Subscription;
+    private readonly ticking: Subscription[];
 
     constructor(private readonly options: CallTaskOptions) {
         this.services = {
@@ -75,10 +78,13 @@
             retries: options.retries,
             targets: options.targets,
             dispatch: events => this.dispatch(events),
-            connectionBroke: (target, address, fingerprint) => this.connectionBroke(target, address, fingerprint),
+            connectionBroke: broken => this.connectionBroke(broken),
             countAttempt: kind => options.histograms.count(attemptCounters[kind]),
         };
-        this.ticking = interval(tickMs).subscribe(() => this.dispatch(options.dispatcher.tick()));
+        this.ticking = [
+            interval(tickMs).subscribe(() => this.dispatch(options.dispatcher.tick())),
+            interval(reportIntervalMs).subscribe(() => this.shareReports()),
+        ];
     }
 
     /** Carries new calls under another rule set; calls in progress keep theirs. */
@@ -99,7 +105,7 @@
 
     /** Ends the task's timers and idle connections. */
     stop(): void {
-        this.ticking.unsubscribe();
+        this.ticking.forEach(subscription => subscription.unsubscribe());
         this.options.targets.close();
     }
 
@@ -245,13 +251,14 @@
     }
 
     /** Gathers the calls whose connections to one target broke together, then finds out whether the target died. */
-    private connectionBroke(target: string, address: string, fingerprint: string): void {
+    private connectionBroke({ target, address, fingerprint, ageMs }: BrokenConnection): void {
         const known = this.broken.get(target);
         if (known !== undefined) {
-            known.fingerprints.add(fingerprint);
+            known.calls.push({ fingerprint, ageMs });
             return;
         }
-        const broken: BrokenConnections = { address, fingerprints: new Set([fingerprint]) };
+        const brokeAt = this.options.clock.wallTime();
+        const broken: BrokenConnections = { address, brokeAt, calls: [{ fingerprint, ageMs }] };
         this.broken.set(target, broken);
         setTimeout(() => void this.judgeBroken(target, broken), crashProbeDelayMs);
     }
@@ -262,9 +269,17 @@
         if (isListening) {
             return;
         }
-        const fingerprints = [...broken.fingerprints];
-        this.options.logger.warn("Target died with calls in flight.", { target, calls: fingerprints.length });
-        this.crashes.next({ target, fingerprints });
+        this.options.logger.warn("Target died with calls in flight.", { target, calls: broken.calls.length });
+        this.options.quarantine.targetCrashed({ target, inFlight: broken.calls, at: broken.brokeAt });
+        this.shareReports();
+    }
+
+    /** Membership passes each report on once, however often it is handed over. */
+    private shareReports(): void {
+        const reports = this.options.quarantine.reportsToShare();
+        if (reports.length > 0) {
+            this.quarantineReports.next(reports);
+        }
     }
 }
 
--- a/daemons/node/src/calls/claims.ts
+++ b/daemons/node/src/calls/claims.ts
@@ -81,6 +81,11 @@
             : { kind: OwnedOutcomeKind.Ran, response: recorded };
     }
 
+    /** Outcomes of calls that are not recorded in the store yet. */
+    get unsettledOutcomes(): number {
+        return this.options.keeper.unsettledOutcomes();
+    }
+
     /** Ends the task's timer. */
     stop(): void {
         this.ticking.unsubscribe();
--- a/daemons/node/src/node.ts
+++ b/daemons/node/src/node.ts
@@ -2,6 +2,7 @@
  * One node: creates the decisions and tasks, connects them and binds the listeners.
  */
 import { randomInt, randomUUID } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
 import { Dispatcher } from "@bilberrycroft/coordination.admission";
 import { Dissemination } from "@bilberrycroft/coordination.dissemination";
 import { Draining } from "@bilberrycroft/coordination.draining";
@@ -37,6 +38,8 @@
 const largestSeed = 0x7fffffff;
 const callRequestTimeoutMs: Milliseconds = 60_000;
 const leaveSpreadMs: Milliseconds = 500;
+const settleClaimsMs: Milliseconds = 5_000;
+const settlePollMs: Milliseconds = 20;
 
 /** Options of `startNode`. */
 export interface NodeOptions {
@@ -106,7 +109,7 @@
         this.control = new ControlClient({ countBytes: (sent, received) => this.countBytes(sent, received) });
         this.router = new Router({ clock, random, zone: settings.zone });
         this.dispatcher = new Dispatcher({ clock, random, router: this.router });
-        this.quarantine = new Quarantine({ clock });
+        this.quarantine = new Quarantine({ node: this.node, clock });
         this.claims = new Claims({
             keeper: new ClaimKeeper({ node: this.node, clock, random }),
             store: this.store,
@@ -166,6 +169,7 @@
 
     async stop(): Promise<void> {
         await this.draining.stop();
+        await this.settleClaims();
         await this.close();
     }
 
@@ -173,6 +177,14 @@
         await this.close();
     }
 
+    /** Outcomes that are lost with the process leave their resends with "unknown"; a store outage ends the wait. */
+    private async settleClaims(): Promise<void> {
+        const endsAt = this.clock.now() + settleClaimsMs;
+        while (this.claims.unsettledOutcomes > 0 && this.clock.now() < endsAt) {
+            await sleep(settlePollMs);
+        }
+    }
+
     private async close(): Promise<void> {
         this.configuration.stop();
         this.lease.stop();
@@ -202,12 +214,8 @@
         this.lease.discoveries.subscribe(discovered =>
             members.tell({ kind: MembershipInputKind.ZonesDiscovered, members: discovered }));
         calls.inFlight.subscribe(count => this.draining.callsInFlight(count));
-        calls.crashes.subscribe(({ target, fingerprints }) => {
-            const at = this.clock.wallTime();
-            quarantine.targetCrashed({ target, inFlight: fingerprints, at });
-            const reports = fingerprints.map(fingerprint => ({ fingerprint, target, at, node: this.node }));
-            members.tell({ kind: MembershipInputKind.CrashReported, reports });
-        });
+        calls.quarantineReports.subscribe(reports =>
+            members.tell({ kind: MembershipInputKind.CrashReported, reports }));
         members.crashReports.subscribe(reports => quarantine.mergeReports(reports));
     }
 
@@ -313,7 +321,7 @@
     /** Peers learn in the exchange that follows; the wait lets it leave before the process ends. */
     private async leave(): Promise<void> {
         this.members.tell({ kind: MembershipInputKind.Leave });
-        await new Promise(resolve => setTimeout(resolve, leaveSpreadMs));
+        await sleep(leaveSpreadMs);
     }
 
     private createHandlers(): ControlHandlers {
--- a/daemons/node/src/tasks/configurationTask.ts
+++ b/daemons/node/src/tasks/configurationTask.ts
@@ -112,6 +112,7 @@
             from: { node: heard.from, controlAddress: heard.controlAddress },
             head: heard.head,
             rememberedVersion: heard.rememberedVersion,
+            inReply: heard.inReply,
         });
     }
 
@@ -136,7 +137,7 @@
         const { from, head, delta } = push;
         this.noteHead(head);
         this.inbox.next(delta === undefined
-            ? { kind: DisseminationInputKind.HeadHeard, from, head, rememberedVersion: 0 }
+            ? { kind: DisseminationInputKind.HeadHeard, from, head, rememberedVersion: 0, inReply: false }
             : { kind: DisseminationInputKind.DeltaReceived, from, delta });
     }
 
--- a/daemons/node/src/tasks/membershipTask.ts
+++ b/daemons/node/src/tasks/membershipTask.ts
@@ -2,7 +2,6 @@
  * Task of membership: carries messages between the membership decision, the control client and the other tasks.
  */
 import {
-    type CrashReport,
     type Entry,
     type Exchange,
     type JoinReply,
@@ -15,6 +14,7 @@
     type TableCopy,
     type Target,
 } from "@bilberrycroft/coordination.membership";
+import type { QuarantineReport } from "@bilberrycroft/coordination.quarantine";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import { assertNever } from "@bilberrycroft/core.errors";
 import type { Logger } from "@bilberrycroft/core.logger";
@@ -46,7 +46,7 @@
     /** Emits when entries changed. */
     readonly tableChanges = new Subject<readonly Entry[]>();
     /** Crash reports of other nodes. */
-    readonly crashReports = new Subject<readonly CrashReport[]>();
+    readonly crashReports = new Subject<readonly QuarantineReport[]>();
     /** Emits once, with the number of peers, when the node has joined. */
     readonly joined = new Subject<number>();
     /** State changes of the own host's targets. */
--- a/protocol/control/src/schemas.ts
+++ b/protocol/control/src/schemas.ts
@@ -3,6 +3,7 @@
  */
 import { FetchReplyKind } from "@bilberrycroft/coordination.dissemination";
 import { JoinReplyKind, Liveness, TargetState } from "@bilberrycroft/coordination.membership";
+import { QuarantineReportKind } from "@bilberrycroft/coordination.quarantine";
 import { z } from "zod";
 
 const maxNameLength = 200;
@@ -93,12 +94,17 @@
 
 const senderSchema = z.object({ node: nameSchema, host: nameSchema, zone: nameSchema, controlAddress: addressSchema });
 
-export const crashReportSchema = z.object({
-    fingerprint: nameSchema,
-    target: nameSchema,
-    at: timeSchema,
-    node: nameSchema,
-});
+export const quarantineReportSchema = z.discriminatedUnion("kind", [
+    z.object({
+        kind: z.literal(QuarantineReportKind.Crash),
+        fingerprint: nameSchema,
+        target: nameSchema,
+        at: timeSchema,
+        startedAt: timeSchema,
+        node: nameSchema,
+    }),
+    z.object({ kind: z.literal(QuarantineReportKind.Completion), fingerprint: nameSchema, at: timeSchema }),
+]);
 
 const suspicionSchema = z.object({
     node: nameSchema,
@@ -120,7 +126,7 @@
     updates: z.array(entrySchema).max(maxUpdates),
     versions: z.array(versionReportSchema).max(maxUpdates),
     suspicions: z.array(suspicionSchema).max(maxNodes),
-    crashReports: z.array(crashReportSchema).max(maxNodes),
+    crashReports: z.array(quarantineReportSchema).max(maxNodes),
     unreachableZones: z.array(nameSchema).max(maxZones),
     rememberedVersion: versionSchema,
     receiverUnknown: z.boolean(),
