--- a/bench/src/dispatchModel.ts
+++ b/bench/src/dispatchModel.ts
@@ -22,14 +22,16 @@
 /** Longer than any deadline, so that no call is cut off by the end of the run. */
 const drainMs = 6_000;
 const zoneDistanceMs = 1;
+/** About the 95th percentile of a lookup. */
+const hedgeAfterMs = 15;
 
 interface Tally {
     offered: number;
     latencies: Milliseconds[];
 }
 
-function createTargets(): RoutingTarget[] {
-    return Array.from({ length: fleet.targets }, (_, index) => ({
+function createTargets(count: number): RoutingTarget[] {
+    return Array.from({ length: count }, (_, index) => ({
         id: `t${index}`,
         service: "readings",
         address: `127.0.0.1:${9_000 + index}`,
@@ -42,7 +44,7 @@
 }
 
 function createModels(scenario: Scenario, simulation: Simulation): ModelTarget[] {
-    return createTargets().map((_, index) => new ModelTarget({
+    return createTargets(scenario.targets).map((_, index) => new ModelTarget({
         simulation,
         index,
         slots: fleet.slots,
@@ -105,7 +107,7 @@
 ): Map<string, Tally> {
     const simulation = new Simulation();
     const models = createModels(scenario, simulation);
-    const targets = createTargets();
+    const targets = createTargets(scenario.targets);
     const senders = Array.from({ length: fleet.nodes }, (_, rank) => createSender({
         simulation,
         targets,
@@ -155,7 +157,8 @@
 for (const scenario of scenarios.filter(({ name }) => name.includes(wanted))) {
     const policies = [
         { policy: "baseline", create: (options: SenderOptions) => new BaselineSender(options) },
-        { policy: "dispatcher", create: (options: SenderOptions) => new DispatcherSender(options) },
+        { policy: "dispatcher", create: (options: SenderOptions) => new DispatcherSender(options, undefined) },
+        { policy: "with hedges", create: (options: SenderOptions) => new DispatcherSender(options, hedgeAfterMs) },
     ];
     for (const { policy, create } of policies) {
         for (const [group, tally] of runScenario(scenario, seed, create)) {
--- a/bench/src/dispatchModel/scenarios.ts
+++ b/bench/src/dispatchModel/scenarios.ts
@@ -20,6 +20,7 @@
 /** One case. */
 export interface Scenario {
     readonly name: string;
+    readonly targets: number;
     readonly traffic: readonly Traffic[];
     readonly slowdowns: readonly Slowdown[];
     readonly reporting: readonly Reporting[];
@@ -67,7 +68,16 @@
 }
 
 function createScenario(name: string, changes: Partial<Scenario>): Scenario {
-    return { name, traffic: [], slowdowns: [], reporting: [], speeds: [], isDisturbed: () => false, ...changes };
+    return {
+        name,
+        targets: fleet.targets,
+        traffic: [],
+        slowdowns: [],
+        reporting: [],
+        speeds: [],
+        isDisturbed: () => false,
+        ...changes,
+    };
 }
 
 const share = (part: number) => () => part * capacityPerSecond;
@@ -85,6 +95,15 @@
     { target: 0, from: 8_500, until: 8_900, factor: 50 },
 ];
 
+/** Two of three targets are slowed at once: more than half of the service. */
+const momentsOfThree: readonly Slowdown[] = [
+    { target: 0, from: 3_000, until: 3_500, factor: 30 },
+    { target: 0, from: 5_000, until: 5_600, factor: 50 },
+    { target: 1, from: 5_000, until: 5_600, factor: 50 },
+    { target: 1, from: 8_000, until: 8_500, factor: 20 },
+    { target: 2, from: 8_100, until: 8_500, factor: 50 },
+];
+
 const lies = [
     Reporting.AlwaysIdle,
     Reporting.AlwaysFull,
@@ -116,5 +135,11 @@
         slowdowns: moments,
         isDisturbed: at => moments.some(({ from, until }) => at >= from && at < until),
     }),
+    createScenario("slowed moments, 3 targets", {
+        targets: 3,
+        traffic: [lookups(() => 0.25 * capacityPerSecond / 2)],
+        slowdowns: momentsOfThree,
+        isDisturbed: at => momentsOfThree.some(({ from, until }) => at >= from && at < until),
+    }),
     createScenario("lying load reports", { traffic: [lookups(share(0.7))], reporting: lies }),
 ];
--- a/bench/src/dispatchModel/senders.ts
+++ b/bench/src/dispatchModel/senders.ts
@@ -7,6 +7,7 @@
 import type { RoutingTarget } from "@bilberrycroft/coordination.routing";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import { createSeededRandom } from "@bilberrycroft/core.random";
+import { RunTimeClass } from "@bilberrycroft/state.rules";
 import type { ModelTarget, Simulation, TargetResponse } from "./simulation";
 
 /** A call of the model. */
@@ -76,13 +77,25 @@
     }
 }
 
-/** One node with a router and a dispatcher. */
+interface ModelAttempt {
+    readonly target: RoutingTarget;
+    readonly startedAt: Milliseconds;
+}
+
+/** A call with its attempts in flight. */
+interface CallInProgress {
+    readonly call: ModelCall;
+    readonly inFlight: Map<string, ModelAttempt>;
+    readonly tried: string[];
+}
+
+/** One node with a router and a dispatcher; optionally hedges short calls after a fixed time. */
 export class DispatcherSender implements Sender {
     private readonly router: Router;
     private readonly dispatcher: Dispatcher;
-    private readonly calls = new Map<string, ModelCall>();
+    private readonly calls = new Map<string, CallInProgress>();
 
-    constructor(private readonly options: SenderOptions) {
+    constructor(private readonly options: SenderOptions, private readonly hedgeAfterMs: Milliseconds | undefined) {
         const { clock } = options.simulation;
         const random = createSeededRandom(1_000 + options.rank);
         this.router = new Router({ clock, random, zone: options.zone });
@@ -96,7 +109,7 @@
     }
 
     send(call: ModelCall): void {
-        this.calls.set(call.callId, call);
+        this.calls.set(call.callId, { call, inFlight: new Map(), tried: [] });
         const submission = this.dispatcher.submit(call);
         if (submission.kind !== DispatchKind.Queued) {
             this.take(submission);
@@ -115,55 +128,82 @@
     }
 
     private take(event: DispatchEvent): void {
+        const progress = this.calls.get(event.callId);
+        if (progress === undefined) {
+            return;
+        }
         if (event.kind === DispatchKind.Refused) {
-            this.calls.get(event.callId)?.finish(false);
-            this.calls.delete(event.callId);
+            this.finish(progress, false);
             return;
         }
-        this.start(event, []);
+        this.start(progress, event);
+        const { runTimeClass } = progress.call.route;
+        if (this.hedgeAfterMs !== undefined && runTimeClass === RunTimeClass.Short) {
+            this.options.simulation.after(this.hedgeAfterMs, () => this.tryAgain(progress));
+        }
+        const remainingMs = Math.max(0, progress.call.deadlineAt - this.options.simulation.clock.now());
+        this.options.simulation.after(remainingMs, () => {
+            if (this.calls.has(event.callId)) {
+                this.finish(progress, false, AttemptResult.TimedOut);
+            }
+        });
     }
 
-    private start(start: Start, tried: readonly string[]): void {
-        const call = this.calls.get(start.callId) as ModelCall;
-        const { clock } = this.options.simulation;
-        const startedAt = clock.now();
-        const index = this.options.targets.findIndex(target => target.id === start.target.id);
-        let ended = false;
-        const end = (result: AttemptResult, response: TargetResponse | undefined): void => {
-            if (!ended) {
-                ended = true;
-                this.end(call, start, [...tried, start.target.id], clock.now() - startedAt, result, response);
+    private start(progress: CallInProgress, { target }: Start): void {
+        const startedAt = this.options.simulation.clock.now();
+        progress.inFlight.set(target.id, { target, startedAt });
+        progress.tried.push(target.id);
+        const index = this.options.targets.findIndex(({ id }) => id === target.id);
+        exchange(this.options, index, progress.call.runTimeMs, response => {
+            if (progress.inFlight.has(target.id)) {
+                this.respond(progress, target.id, response);
             }
-        };
-        const remainingMs = Math.max(0, call.deadlineAt - startedAt);
-        this.options.simulation.after(remainingMs, () => end(AttemptResult.TimedOut, undefined));
-        exchange(this.options, index, call.runTimeMs, response =>
-            end(response.ran ? AttemptResult.Answered : AttemptResult.Shed, response));
+        });
     }
 
-    private end(
-        call: ModelCall,
-        start: Start,
-        tried: readonly string[],
-        latencyMs: Milliseconds,
+    private respond(progress: CallInProgress, target: string, response: TargetResponse): void {
+        this.complete(progress, target, response.ran ? AttemptResult.Answered : AttemptResult.Shed, response);
+        if (response.ran) {
+            this.finish(progress, true);
+        }
+        else if (progress.inFlight.size === 0 && !this.tryAgain(progress)) {
+            this.finish(progress, false);
+        }
+    }
+
+    /** Starts a retry or hedge; a call has at most two attempts. */
+    private tryAgain(progress: CallInProgress): boolean {
+        const { callId } = progress.call;
+        if (!this.calls.has(callId) || progress.tried.length > 1) {
+            return false;
+        }
+        const again = this.dispatcher.chooseAgain({ callId, exclude: progress.tried });
+        if (again.kind === DispatchKind.Start) {
+            this.start(progress, again);
+        }
+        return again.kind === DispatchKind.Start;
+    }
+
+    private complete(
+        progress: CallInProgress,
+        target: string,
         result: AttemptResult,
         response: TargetResponse | undefined,
     ): void {
-        const { callId } = call;
+        const attempt = progress.inFlight.get(target) as ModelAttempt;
+        progress.inFlight.delete(target);
+        const latencyMs = this.options.simulation.clock.now() - attempt.startedAt;
+        const { callId } = progress.call;
         const load = response?.load;
-        const completion = { callId, target: start.target.id, latencyMs, result, load, draining: false };
-        const events = this.dispatcher.completed(completion);
-        if (result === AttemptResult.Shed && tried.length === 1) {
-            const again = this.dispatcher.chooseAgain({ callId, exclude: tried });
-            if (again.kind === DispatchKind.Start) {
-                this.start(again, tried);
-                this.takeAll(events);
-                return;
-            }
+        this.takeAll(this.dispatcher.completed({ callId, target, latencyMs, result, load, draining: false }));
+    }
+
+    private finish(progress: CallInProgress, done: boolean, rest = AttemptResult.Cancelled): void {
+        this.calls.delete(progress.call.callId);
+        this.dispatcher.cancel(progress.call.callId);
+        for (const target of [...progress.inFlight.keys()]) {
+            this.complete(progress, target, rest, undefined);
         }
-        this.dispatcher.cancel(callId);
-        this.calls.delete(callId);
-        call.finish(result === AttemptResult.Answered);
-        this.takeAll(events);
+        progress.call.finish(done);
     }
 }
--- a/coordination/routing/src/router.ts
+++ b/coordination/routing/src/router.ts
@@ -230,7 +230,7 @@
             return;
         }
         if (record.suspected && !distrusted) {
-            candidates.trial = record;
+            candidates.trial = record.connectionShare > 0 ? record : candidates.trial;
             return;
         }
         if (record.connectionShare === 0) {
