--- a/coordination/admission/src/dispatcher.ts
+++ b/coordination/admission/src/dispatcher.ts
@@ -113,6 +113,10 @@
                 retryAfterMs: 0,
             };
         }
+        if (this.isHedge(attempt) && this.isAnyWaiting(pending)) {
+            // A hedge would take the slot of a call that has not been tried at all.
+            return this.admission.refuseQueued(pending);
+        }
         const choice = this.choose(pending, attempt.exclude);
         if (choice.kind === TargetChoiceKind.Chosen) {
             return this.start(pending, choice.target, choice.trial);
@@ -178,6 +182,15 @@
         return this.capacity.limitOf(target);
     }
 
+    /** A further attempt is a hedge while another attempt of the call is in flight. */
+    private isHedge({ callId, exclude }: FurtherAttempt): boolean {
+        return exclude.some(target => this.attempts.has(attemptKey(callId, target)));
+    }
+
+    private isAnyWaiting({ call, runTimeClass }: PendingCall): boolean {
+        return this.admission.next(call.route.to, runTimeClass) !== undefined;
+    }
+
     private takeDecision(decision: AdmissionDecision, callId: string): Submission {
         if (decision.kind === AdmissionKind.Refused) {
             return decision.refused;
--- a/coordination/admission/test/dispatcher.test.ts
+++ b/coordination/admission/test/dispatcher.test.ts
@@ -222,6 +222,18 @@
             expect(dispatcher.callsInFlight).toBe(2);
         });
 
+        it("leave the slots to waiting calls when they are hedges", () => {
+            setUp(1, 1);
+            const [first] = times(3, () => submit());
+            const tried = first?.kind === DispatchKind.Start ? first.target.id : "";
+            const other = tried === "t0" ? "t1" : "t0";
+            const shortly = { callId: "call-0", exclude: [tried] };
+            dispatcher.setTargets([createTarget("t0", 2), createTarget("t1", 2)]);
+            expect(dispatcher.chooseAgain(shortly).kind).toBe(DispatchKind.Refused);
+            dispatcher.cancel("call-2");
+            expect(dispatcher.chooseAgain(shortly)).toMatchObject({ kind: DispatchKind.Start, target: { id: other } });
+        });
+
         it("never go to an excluded target, even if it is the only one", () => {
             submit({ callId: "call" });
             expect(dispatcher.chooseAgain({ callId: "call", exclude: ["t0"] }).kind).toBe(DispatchKind.Refused);
