End the process after every planned stop

Cause: a stop that an operator or a later process of the host asked for drained the node but left the process running, and idle connections were closed without warning. Change: the daemon waits for the node's stop whoever asked for it; from the start of the stop each response ends its connection, and the listener counts as closed when its last connection has ended. Before: 'drain' left the process up.

--- a/bench/src/demo.ts
+++ b/bench/src/demo.ts
@@ -58,6 +58,7 @@
             return reports.every(report => "value" in report && report.value.members.length === targets
                 && report.value.members.every(({ entry }) => entry.targets.length === 1));
         });
+        this.print(`Every node knows every node and target after ${Math.round(joined ?? joinLimitMs)} ms.`);
         this.check("every node knows every node and its target", joined !== undefined);
     }
 
--- a/daemons/node/src/main.ts
+++ b/daemons/node/src/main.ts
@@ -47,13 +47,13 @@
     logger.info("Node started.", { control: node.controlAddress, calls: node.callAddress, zone: settings.zone });
     const stop = (signal: string): void => {
         logger.info("Node stops.", { signal });
-        void node.stop().then(() => {
-            logger.info("Node stopped.");
-            process.exit(ExitCode.Done);
-        });
+        void node.stop();
     };
     process.on("SIGTERM", stop);
     process.on("SIGINT", stop);
+    await node.stopped;
+    logger.info("Node stopped.");
+    process.exit(ExitCode.Done);
 }
 
 function fail(message: string, exitCode: ExitCode): void {
--- a/daemons/node/src/node.ts
+++ b/daemons/node/src/node.ts
@@ -61,6 +61,8 @@
     version(): number;
     /** Planned stop: resolves when no call is left and the listeners are closed. */
     stop(): Promise<void>;
+    /** Resolves after a planned stop, whoever asked for it: a signal, an operator, or a later process of the host. */
+    readonly stopped: Promise<void>;
     /** Ends at once, as a crash would, for tests. */
     kill(): Promise<void>;
 }
@@ -95,12 +97,18 @@
     private lease!: LeaseTask;
     private callListener!: Listener;
     private controlListener!: Listener;
+    readonly stopped: Promise<void>;
+    private reportStopped: () => void = () => undefined;
+    private stopping: Promise<void> | undefined;
     private bytesSent = 0;
     private bytesReceived = 0;
 
     constructor(private readonly options: NodeOptions) {
         const { settings } = options;
         const { clock } = this;
+        this.stopped = new Promise(resolve => {
+            this.reportStopped = resolve;
+        });
         this.node = `${settings.host}-${randomUUID().slice(0, 8)}`;
         this.random = createSeededRandom(options.seed ?? randomInt(largestSeed));
         const { random } = this;
@@ -167,16 +175,22 @@
         this.lease.start();
     }
 
-    async stop(): Promise<void> {
-        await this.draining.stop();
-        await this.settleClaims();
-        await this.close();
+    stop(): Promise<void> {
+        this.stopping ??= this.stopGracefully();
+        return this.stopping;
     }
 
     async kill(): Promise<void> {
         await this.close();
     }
 
+    private async stopGracefully(): Promise<void> {
+        await this.draining.stop();
+        await this.settleClaims();
+        await this.close();
+        this.reportStopped();
+    }
+
     /** Outcomes that are lost with the process leave their resends with "unknown"; a store outage ends the wait. */
     private async settleClaims(): Promise<void> {
         const endsAt = this.clock.now() + settleClaimsMs;
@@ -211,6 +225,7 @@
             this.lease.membersChanged(members.membership.nodesInZone(this.options.settings.zone));
         });
         this.lease.reading.subscribe(isReader => configuration.setReading(isReader));
+        members.superseded.subscribe(() => void this.stop());
         this.lease.discoveries.subscribe(discovered =>
             members.tell({ kind: MembershipInputKind.ZonesDiscovered, members: discovered }));
         calls.inFlight.subscribe(count => this.draining.callsInFlight(count));
@@ -307,12 +322,15 @@
             draining: new Draining({ clock: this.clock }),
             logger: this.partLogger("draining"),
             actions: {
-                announceDraining: () => this.members.tell({ kind: MembershipInputKind.Drain }),
+                announceDraining: () => {
+                    this.members.tell({ kind: MembershipInputKind.Drain });
+                    this.callListener.announceStop();
+                },
                 handOverLease: () => this.lease.handOver(),
                 tellPeers: () => this.leave(),
-                stopListening: async () => {
+                stopListening: () => {
                     this.calls.refuseNewCalls();
-                    this.callListener.stopAccepting();
+                    return this.callListener.stopAccepting();
                 },
             },
         });
@@ -341,7 +359,7 @@
             }),
             metrics: () => this.metrics.render(),
             drain: async () => {
-                void this.draining.stop();
+                void this.stop();
                 return { node: this.node, state: this.draining.state };
             },
         };
--- a/transport/calls/src/listener.ts
+++ b/transport/calls/src/listener.ts
@@ -25,8 +25,10 @@
 export interface Listener {
     /** `host:port` that the listener is bound to. */
     readonly address: string;
-    /** Accepts no new connection; idle connections end, others end after their current response. */
-    stopAccepting(): void;
+    /** Goes on accepting, but ends each connection after its next response, so that callers move elsewhere. */
+    announceStop(): void;
+    /** Accepts no new connection; resolves when the last connection has ended after its current response. */
+    stopAccepting(): Promise<void>;
     /** Ends all connections. */
     close(): Promise<void>;
 }
@@ -56,10 +58,15 @@
         server.listen(options.port, options.host, () => {
             resolve({
                 address: formatAddress(server),
+                announceStop: () => {
+                    stopping = true;
+                },
                 stopAccepting: () => {
                     stopping = true;
-                    server.close();
-                    server.closeIdleConnections();
+                    return new Promise(closed => {
+                        server.close(() => closed());
+                        server.closeIdleConnections();
+                    });
                 },
                 close: () => closeServer(server),
             });
