--- a/daemons/node/src/tasks/leaseTask.ts
+++ b/daemons/node/src/tasks/leaseTask.ts
@@ -30,8 +30,8 @@
 import { listRosterMembers, parseLeaseRecord } from "./zoneRecord";
 
 const tickMs: Milliseconds = 250;
-// One list for each zone and interval: 10 zones cost the store two calls a second.
-const discoveryIntervalMs: Milliseconds = 5_000;
+// One list for each zone and interval: 10 zones cost the store five calls a second.
+const discoveryIntervalMs: Milliseconds = 2_000;
 
 /** Options of a `LeaseTask`. */
 export interface LeaseTaskOptions {
