Drive restarts of hosts that are ahead of their peers in the property test

With the guards removed in turn, the property test now fails for requests counted as heard peers, the floor at start, peers without a version and the remembered version; before, some of them failed only unit tests.

--- a/coordination/dissemination/test/property.test.ts
+++ b/coordination/dissemination/test/property.test.ts
@@ -13,6 +13,7 @@
     ReadStore,
     ReadStoreLate,
     Restart,
+    RestartAhead,
     StoreDown,
     StoreUp,
     Exchange,
@@ -40,7 +41,7 @@
     StepKind.Deliver,
     StepKind.Repeat,
     StepKind.Restart,
-    StepKind.Restart,
+    StepKind.RestartAhead,
     StepKind.StoreDown,
     StepKind.ReadStoreLate,
 ];
@@ -73,6 +74,8 @@
             return world.readStoreLate(world.hostAt(first));
         case StepKind.Restart:
             return world.restart(world.hostAt(first));
+        case StepKind.RestartAhead:
+            return world.restartAhead(world.hostAt(first));
         case StepKind.StoreDown:
             world.storeUp = false;
             return;
--- a/coordination/dissemination/test/world.ts
+++ b/coordination/dissemination/test/world.ts
@@ -94,6 +94,16 @@
         this.start(host);
     }
 
+    /** A host takes a version before its peers, and its process is replaced while the store is down. */
+    restartAhead(host: string): void {
+        this.accept(false);
+        this.storeUp = true;
+        this.readStore(host);
+        this.storeUp = false;
+        this.restart(host);
+        this.hosts().forEach(peer => this.exchange(host, peer));
+    }
+
     /** One exchange: whatever process runs on the other host takes the request and replies to its sender. */
     exchange(from: string, to: string): void {
         if (from !== to) {
