--- a/coordination/routing/src/loadReport.ts
+++ b/coordination/routing/src/loadReport.ts
@@ -7,7 +7,10 @@
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import type { ReportedLoad } from "@bilberrycroft/protocol.calls";
 
-const reportLifetimeMs = 50;
+/** The weight of a report falls to nothing in this time: calls of a few milliseconds have then left the target. */
+const reportLifetimeMs = 20;
+/** Long calls change the load more slowly, so a report says for longer whether a target is free of them. */
+const undiscountedLifetimeMs = 50;
 const trustGain = 0.1;
 /** A target with this many times its slots in calls cannot respond at its usual latency. */
 const overfull = 1.5;
@@ -47,6 +50,6 @@
 
     /** Calls of other nodes by a recent report, without discount; `undefined` if there is none. */
     reportedOthersAt(now: Milliseconds): number | undefined {
-        return now - this.reportedAt < reportLifetimeMs ? this.others : undefined;
+        return now - this.reportedAt < undiscountedLifetimeMs ? this.others : undefined;
     }
 }
