Leave the membership only after the last call of a planned stop

Cause: the node announced "left" at the start of its stop, so its own table froze while calls were still in flight, and peers forgot it before its claims were settled. Change: the start of the stop announces Draining; "left" follows after calls and claims. Control handlers have a module of their own. Before and after: the demo's checks of a drained node hold in both; the frozen table was found by reading.

--- a/daemons/node/src/node.ts
+++ b/daemons/node/src/node.ts
@@ -24,9 +24,9 @@
 import { HttpStore } from "@bilberrycroft/transport.store";
 import { CallTask } from "./calls/callTask";
 import { Claims, toOwnedOutcome } from "./calls/claims";
+import { createControlHandlers } from "./controlHandlers";
 import { createNodeMetrics, type NodeMetrics } from "./metrics";
 import type { NodeSettings } from "./settings";
-import { createStatusReport } from "./status";
 import { ConfigurationReader } from "./tasks/configurationReader";
 import { ConfigurationTask } from "./tasks/configurationTask";
 import { DrainTask } from "./tasks/drainTask";
@@ -37,7 +37,7 @@
 
 const largestSeed = 0x7fffffff;
 const callRequestTimeoutMs: Milliseconds = 60_000;
-const leaveSpreadMs: Milliseconds = 500;
+const spreadMs: Milliseconds = 500;
 const settleClaimsMs: Milliseconds = 5_000;
 const settlePollMs: Milliseconds = 20;
 
@@ -187,6 +187,7 @@
     private async stopGracefully(): Promise<void> {
         await this.draining.stop();
         await this.settleClaims();
+        await this.leave();
         await this.close();
         this.reportStopped();
     }
@@ -327,7 +328,8 @@
                     this.callListener.announceStop();
                 },
                 handOverLease: () => this.lease.handOver(),
-                tellPeers: () => this.leave(),
+                // The announcement goes out at once; the wait lets the exchanges that carry it end.
+                tellPeers: () => sleep(spreadMs),
                 stopListening: () => {
                     this.calls.refuseNewCalls();
                     return this.callListener.stopAccepting();
@@ -336,33 +338,23 @@
         });
     }
 
-    /** Peers learn in the exchange that follows; the wait lets it leave before the process ends. */
     private async leave(): Promise<void> {
         this.members.tell({ kind: MembershipInputKind.Leave });
-        await sleep(leaveSpreadMs);
+        await sleep(spreadMs);
     }
 
     private createHandlers(): ControlHandlers {
-        return {
-            exchange: exchange => this.members.exchange(exchange),
-            join: entry => this.members.join(entry),
-            zoneTable: zone => this.members.zoneTable(zone),
-            fetchConfiguration: baseVersion => this.configuration.fetch(baseVersion),
-            pushConfiguration: push => this.configuration.push(push),
-            claimOutcome: async claim => this.claims.ownedOutcome(claim),
-            status: async () => createStatusReport({
-                membership: this.members.membership,
-                inForce: this.configuration.current,
-                heardHead: this.configuration.heardHead,
-                notServing: this.configuration.startBlocker,
-                storeReachable: this.reader.storeReachable.value,
-            }),
-            metrics: () => this.metrics.render(),
-            drain: async () => {
+        return createControlHandlers(() => ({
+            members: this.members,
+            configuration: this.configuration,
+            claims: this.claims,
+            metrics: this.metrics,
+            isStoreReachable: () => this.reader.storeReachable.value,
+            drain: () => {
                 void this.stop();
                 return { node: this.node, state: this.draining.state };
             },
-        };
+        }));
     }
 
     private async askNode(node: string, claim: { readonly key: string; readonly attempt: string }) {
