Learn usual latencies more slowly; keep trials to first attempts

Retries and hedges are no trials, and short calls try a target first that had refused connections. Four further guards were removed to see their tests fail: hedges beside waiting calls, trials by retries, long calls on probation, and the decrease of the limit.

--- a/coordination/admission/src/dispatcher.ts
+++ b/coordination/admission/src/dispatcher.ts
@@ -211,7 +211,8 @@
             service,
             runTimeClass,
             exclude,
-            trialAllowed: pending.call.route.repeatable && !isLong,
+            // A retry or hedge must not go to a target that is likely to fail it again.
+            trialAllowed: pending.call.route.repeatable && !isLong && exclude.length === 0,
             hasRoom: load => admitted && this.capacity.hasRoom(load, runTimeClass),
         });
     }
--- a/coordination/admission/test/dispatcher.test.ts
+++ b/coordination/admission/test/dispatcher.test.ts
@@ -60,10 +60,14 @@
     for (let index = 0; index < calls; index++) {
         const started = submit({ route });
         clock.advance(latencyMs);
-        complete(started.callId, started.kind === DispatchKind.Start ? started.target.id : "", { latencyMs });
+        complete(started.callId, targetOf(started), { latencyMs });
     }
 }
 
+function targetOf(submission: Submission): string {
+    return submission.kind === DispatchKind.Start ? submission.target.id : "";
+}
+
 function startedIds(events: readonly DispatchEvent[]): string[] {
     return events.filter(event => event.kind === DispatchKind.Start).map(event => event.callId);
 }
@@ -104,6 +108,16 @@
             expect(dispatcher.limitOf(createTarget("t0", 6))).toBe(6);
         });
 
+        it("lowers the limit when answers show that calls queue inside the target", () => {
+            learn(lookup, 5, 40);
+            for (let round = 0; round < 3; round++) {
+                times(6, index => submit({ callId: `slow-${round}-${index}` }));
+                clock.advance(14);
+                times(6, index => complete(`slow-${round}-${index}`, "t0", { latencyMs: 14 }));
+            }
+            expect(dispatcher.limitOf(createTarget("t0", 6))).toBeLessThan(6);
+        });
+
         it("leaves slots to other nodes whose calls the target reports", () => {
             submit({ callId: "first" });
             complete("first", "t0", { load: { calls: 5, slots: 6 } });
@@ -216,7 +230,7 @@
         it("go to another target and hold a slot of their own", () => {
             setUp(6, 6);
             const first = submit({ callId: "call" });
-            const tried = first.kind === DispatchKind.Start ? first.target.id : "";
+            const tried = targetOf(first);
             const again = dispatcher.chooseAgain({ callId: "call", exclude: [tried] });
             expect(again).toMatchObject({ kind: DispatchKind.Start, target: { id: tried === "t0" ? "t1" : "t0" } });
             expect(dispatcher.callsInFlight).toBe(2);
@@ -225,7 +239,7 @@
         it("leave the slots to waiting calls when they are hedges", () => {
             setUp(1, 1);
             const [first] = times(3, () => submit());
-            const tried = first?.kind === DispatchKind.Start ? first.target.id : "";
+            const tried = first === undefined ? "" : targetOf(first);
             const other = tried === "t0" ? "t1" : "t0";
             const shortly = { callId: "call-0", exclude: [tried] };
             dispatcher.setTargets([createTarget("t0", 2), createTarget("t1", 2)]);
@@ -234,6 +248,17 @@
             expect(dispatcher.chooseAgain(shortly)).toMatchObject({ kind: DispatchKind.Start, target: { id: other } });
         });
 
+        it("are no trials of a suspected target, which would fail the call a second time", () => {
+            setUp(6, 6, 6, 6, 6);
+            learn(lookup, 5, 60);
+            const stalled = targetOf(submit());
+            clock.advance(50);
+            const tried = targetOf(submit({ callId: "retried" }));
+            clock.advance(150);
+            const again = targetOf(dispatcher.chooseAgain({ callId: "retried", exclude: [tried] }));
+            expect(["", stalled, tried]).not.toContain(again);
+        });
+
         it("never go to an excluded target, even if it is the only one", () => {
             submit({ callId: "call" });
             expect(dispatcher.chooseAgain({ callId: "call", exclude: ["t0"] }).kind).toBe(DispatchKind.Refused);
@@ -242,7 +267,7 @@
         it("are refused after the call was answered, so that an answered call does not run again", () => {
             setUp(6, 6);
             const first = submit({ callId: "call" });
-            complete("call", first.kind === DispatchKind.Start ? first.target.id : "");
+            complete("call", targetOf(first));
             expect(dispatcher.chooseAgain({ callId: "call", exclude: [] }).kind).toBe(DispatchKind.Refused);
         });
     });
--- a/coordination/routing/src/latency.ts
+++ b/coordination/routing/src/latency.ts
@@ -7,7 +7,7 @@
  */
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 
-const usualGain = 0.05;
+const usualGain = 0.02;
 const recentGain = 0.3;
 /** A sample moves `usual` as if it were at most this many times as long. */
 const clipMultiple = 3;
--- a/coordination/routing/src/router.ts
+++ b/coordination/routing/src/router.ts
@@ -135,7 +135,7 @@
             id: record.target.id,
             service: record.target.service,
             suspected: record.suspected,
-            refusing: record.isRefusing(now),
+            refusing: record.isRefusing(RunTimeClass.Short, now),
             draining: record.isLeaving(now),
             callsInFlight: record.callsInFlight,
             ramp: record.ramp(now),
@@ -254,7 +254,7 @@
         if (request.exclude.includes(record.target.id)) {
             return NoTargetReason.Tried;
         }
-        if (record.isRefusing(now)) {
+        if (record.isRefusing(request.runTimeClass, now)) {
             return NoTargetReason.Refusing;
         }
         if (record.suspected && !distrusted && !(request.trialAllowed && record.isTrialDue(now))) {
@@ -282,7 +282,7 @@
         let suspected = 0;
         for (const record of service.records) {
             record.checkStall(now);
-            if (!record.isLeaving(now) && !record.isRefusing(now)) {
+            if (!record.isLeaving(now) && !record.isRefusing(RunTimeClass.Short, now)) {
                 available++;
                 suspected += record.suspected ? 1 : 0;
             }
--- a/coordination/routing/src/targetRecord.ts
+++ b/coordination/routing/src/targetRecord.ts
@@ -19,6 +19,7 @@
 const trialWaitResetMs = 2_000;
 const firstRefusalWaitMs = 100;
 const longestRefusalWaitMs = 5_000;
+const shortCallsTryFirstMs = 500;
 const rampMs = 5_000;
 const rampFloor = 0.1;
 /** Membership spreads an announcement within 3 s; a draining header that it never confirms is forgotten after this. */
@@ -87,8 +88,10 @@
             || now - this.drainingHeardAt < drainingMemoryMs;
     }
 
-    isRefusing(now: Milliseconds): boolean {
-        return this.refusals > 0 && (now < this.refusedUntil || this.trialCall !== undefined);
+    /** A long call would keep the others waiting for the result of the trial, so short calls try first. */
+    isRefusing(runTimeClass: RunTimeClass, now: Milliseconds): boolean {
+        const headStartMs = runTimeClass === RunTimeClass.Long ? shortCallsTryFirstMs : 0;
+        return this.refusals > 0 && (now < this.refusedUntil + headStartMs || this.trialCall !== undefined);
     }
 
     /** Whether the next attempt tells if a target works again that refused or broke connections. */
--- a/coordination/routing/test/router.test.ts
+++ b/coordination/routing/test/router.test.ts
@@ -175,6 +175,14 @@
             expect(chooseOften()).toEqual({ 2: 100 });
         });
 
+        it("is tried again by a short call first, because a long one would delay the result", () => {
+            fail("1", AttemptResult.ConnectionRefused);
+            clock.advance(150);
+            const onlyFirst = { exclude: ["2"] };
+            expect(choose({ ...onlyFirst, runTimeClass: RunTimeClass.Long })).toBe(NoTargetReason.Refusing);
+            expect(choose(onlyFirst)).toBe("1");
+        });
+
         it("is tried again after a growing wait, not as often as calls arrive", () => {
             const waits: number[] = [];
             for (let round = 0; round < 4; round++) {
