--- a/bench/src/load/arrivals.ts
+++ b/bench/src/load/arrivals.ts
@@ -18,6 +18,8 @@
     readonly body?: string;
     /** Sent as the call's timeout; a response after it is not goodput. */
     readonly timeoutMs: Milliseconds;
+    /** Where calls of this kind go in place of the run's targets. */
+    readonly targets?: readonly string[];
     /** Sends a new idempotency key with each call. */
     readonly idempotencyKey?: boolean;
 }
@@ -48,8 +50,10 @@
     let dueMs = drawGap(random, peakRate);
     while (dueMs < options.durationMs) {
         if (random.nextFraction() * peakRate < getRate(options.profile, dueMs)) {
-            const target = options.targets[random.nextInteger(options.targets.length)] ?? "";
-            yield { index, dueMs, kind: drawKind(random, options.requests), target };
+            const place = random.nextFraction();
+            const kind = drawKind(random, options.requests);
+            const targets = kind.targets ?? options.targets;
+            yield { index, dueMs, kind, target: targets[Math.floor(place * targets.length)] ?? "" };
             index++;
         }
         dueMs += drawGap(random, peakRate);
--- a/bench/src/load/results.ts
+++ b/bench/src/load/results.ts
@@ -35,6 +35,8 @@
     readonly idempotencyKey: string | undefined;
     readonly outcome: LoadOutcome;
     readonly failure: LoadFailure;
+    /** Intended start, since the start of the run. */
+    readonly dueMs: Milliseconds;
     /** From the intended start to the end of the response. */
     readonly latencyMs: Milliseconds;
     readonly timeoutMs: Milliseconds;
@@ -58,6 +60,8 @@
     readonly failures: Readonly<Record<LoadFailure, number>>;
     /** Calls per second that were done within their timeout. */
     readonly goodput: number;
+    /** Share of the offered calls that were done within their timeout. */
+    readonly inTimeShare: number;
 }
 
 /** Result of a run. */
@@ -122,15 +126,17 @@
     }
 
     summarize(durationMs: Milliseconds): ClassResult {
+        const offered = Object.values(this.outcomes).reduce((sum, count) => sum + count, 0);
         return {
             className: this.className,
-            offered: Object.values(this.outcomes).reduce((sum, count) => sum + count, 0),
+            offered,
             done: this.outcomes[LoadOutcome.Done],
             notRun: this.outcomes[LoadOutcome.NotRun],
             unknown: this.outcomes[LoadOutcome.Unknown],
             errors: this.outcomes[LoadOutcome.Failed],
             failures: { ...this.failures },
             goodput: this.inTime * 1_000 / durationMs,
+            inTimeShare: offered === 0 ? 0 : this.inTime / offered,
             ...this.latencies.summarize(),
         };
     }
--- a/bench/src/load/runLoad.ts
+++ b/bench/src/load/runLoad.ts
@@ -125,8 +125,9 @@
 
     private record(arrival: Arrival, id: string, idempotencyKey: string | undefined, end: LoadCallEnd): void {
         const { className, timeoutMs } = arrival.kind;
-        const latencyMs = this.elapsed() - arrival.dueMs;
-        const call: CallRecord = { id, className, idempotencyKey, timeoutMs, latencyMs, ...end };
+        const { dueMs } = arrival;
+        const latencyMs = this.elapsed() - dueMs;
+        const call: CallRecord = { id, className, idempotencyKey, timeoutMs, dueMs, latencyMs, ...end };
         if (this.isCounted(arrival)) {
             this.total.record(call);
             this.classes.get(className)?.record(call);
--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -1,2 +1,79 @@
-/** Entry point; the program is not written yet. */
-process.exitCode = 2;
+/**
+ * `npm run bench`: measures this version and the plain baseline on loopback, prints tables and writes JSON.
+ */
+import { loadavg } from "node:os";
+import type { Milliseconds } from "@bilberrycroft/core.clock";
+import { deployments, type DeploymentShape } from "./deployments";
+import { ArgumentOutcomeKind, type BenchArguments, parseBenchArguments } from "./harness/arguments";
+import { runCase } from "./harness/cases";
+import { type FleetTimes, startFleet } from "./harness/fleet";
+import { ProcessSet } from "./harness/processes";
+import { publishReport } from "./report";
+
+enum ExitCode {
+    Done = 0,
+    Failed = 1,
+    Usage = 2,
+    Interrupted = 130,
+}
+
+/** A bench that hangs must not hold the machine. */
+const longestRunMs: Milliseconds = 1_200_000;
+/** At the deployments' own run times the capacity of a service exceeds what one shared machine can offer three times. */
+const targetTimes: Readonly<Record<string, FleetTimes>> = {
+    kyushu: { shortMs: 50, longMs: 1_000 },
+    dakar: { shortMs: 100, longMs: 1_000 },
+};
+
+async function runDeployment(shape: DeploymentShape, settings: BenchArguments): Promise<void> {
+    const processes = new ProcessSet(description => fail(`a process ended: ${description}`));
+    const onExit = (): void => processes.end();
+    process.once("exit", onExit);
+    const times = targetTimes[shape.name] ?? { shortMs: shape.shortMs, longMs: shape.longMs };
+    const { seed, quick } = settings;
+    const fleet = await startFleet({ shape, times, processes, seed });
+    for (const letter of settings.cases) {
+        const load = loadavg()[0] ?? 0;
+        const { description, metrics } = await runCase(letter, { fleet, shape, times, seed, quick });
+        const run = `seed ${seed}, ${quick ? "quick, " : ""}load average ${load.toFixed(1)} at the start`;
+        await publishReport({ name: `${shape.name}-${letter}`, description: `${description}; ${run}`, metrics });
+    }
+    processes.end();
+    process.off("exit", onExit);
+}
+
+async function run(settings: BenchArguments): Promise<void> {
+    const shapes = settings.deployments.map(name => deployments[name]).filter(shape => shape !== undefined);
+    if (settings.quick) {
+        // Quick runs check the bench; their figures are disturbed by the other deployment.
+        await Promise.all(shapes.map(shape => runDeployment(shape, settings)));
+        return;
+    }
+    for (const shape of shapes) {
+        await runDeployment(shape, settings);
+    }
+}
+
+function fail(message: string): void {
+    process.stderr.write(`bench: ${message}\n`);
+    process.exit(ExitCode.Failed);
+}
+
+process.on("SIGINT", () => process.exit(ExitCode.Interrupted));
+process.on("SIGTERM", () => process.exit(ExitCode.Interrupted));
+process.on("uncaughtException", error => fail(error.stack ?? error.message));
+process.on("unhandledRejection", error => fail(String(error)));
+
+const outcome = parseBenchArguments(process.argv);
+switch (outcome.kind) {
+    case ArgumentOutcomeKind.Printed:
+        break;
+    case ArgumentOutcomeKind.Refused:
+        process.stderr.write(outcome.problems.map(problem => `bench: ${problem}\n`).join(""));
+        process.exitCode = ExitCode.Usage;
+        break;
+    case ArgumentOutcomeKind.Run:
+        setTimeout(() => fail("the longest time of a run is over"), longestRunMs);
+        await run(outcome.settings);
+        process.exit(ExitCode.Done);
+}
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -14,6 +14,7 @@
     bilberrycroft: "cli/operator/src/main.ts",
     demo: "bench/src/demo.ts",
     bench: "bench/src/main.ts",
+    "bench-worker": "bench/src/worker.ts",
 };
 
 const requireShim = "import { createRequire as createRequireForBundle } from \"node:module\";"
