--- a/bench/src/harness/cases.ts
+++ b/bench/src/harness/cases.ts
@@ -10,7 +10,15 @@
 import { countReceived, injectFault, pauseProcesses, resumeProcesses } from "./faults";
 import { type Fleet, type FleetTimes, sleep, steadyPath, steadyService } from "./fleet";
 import { measureRecovery } from "./recovery";
-import { type CallGroup, type Disturbance, runSegment, type Segment, type SegmentRecords, summarizeGroups, warmupMs } from "./segment";
+import {
+    type CallGroup,
+    type Disturbance,
+    runSegment,
+    type Segment,
+    type SegmentRecords,
+    summarizeGroups,
+    warmupMs,
+} from "./segment";
 import { createGroupMetrics } from "./table";
 
 /** What a case runs with. */
@@ -85,8 +93,9 @@
     const baselines = await fleet.startBaselines(steadyService, 1_000);
     const durationMs = quick ? 1_500 : 20_000;
     const node = fleet.nodes.length - 1;
+    const headers = { [CallHeader.Tenant]: shape.tenants[0] ?? "" };
     const kind = (className: string, targets: readonly string[]): RequestKind =>
-        ({ className, targets, weight: 1, path: steadyPath, timeoutMs: 1_000, headers: { [CallHeader.Tenant]: shape.tenants[0] ?? "" } });
+        ({ className, targets, weight: 1, path: steadyPath, timeoutMs: 1_000, headers });
     const direct = fleet.targetsOf(steadyService).map(target => target.address);
     const records = await runSegment(fleet, {
         entries: [],
@@ -100,7 +109,8 @@
         seed,
         disturbances: [],
     });
-    const group = (className: string): CallGroup => ({ name: className, className, fromMs: warmupMs, toMs: durationMs });
+    const counted = { fromMs: warmupMs, toMs: durationMs };
+    const group = (className: string): CallGroup => ({ name: className, className, ...counted });
     const names = ["direct", Version.Current, Version.Baseline];
     await fleet.closeBaselines();
     const [base, current, baseline] = summarizeGroups(names.map(group), [records], seed).classes;
@@ -138,7 +148,8 @@
     const steps = [step(calmMs, 0.6), ...up, step(peakMs, 3), ...[...up].reverse(), step(calmMs, 0.6)];
     const durationMs = steps.reduce((sum, { durationMs: stepMs }) => sum + stepMs, 0);
     const requests = swingRequests(shape);
-    const plan = { ...shortPlan(context), requests, durationMs, profile: { kind: RateProfileKind.Steps, steps } as const };
+    const profile = { kind: RateProfileKind.Steps, steps } as const;
+    const plan = { ...shortPlan(context), requests, durationMs, profile };
     const measured = await measure(context, plan);
     const peakFrom = calmMs + rampMs;
     const backFrom = peakFrom + peakMs + rampMs;
--- a/bench/src/harness/workers.ts
+++ b/bench/src/harness/workers.ts
@@ -17,7 +17,7 @@
     return new Promise((resolve, reject) => {
         worker.once("message", reply => resolve(reply as WorkerReply));
         worker.send(request, error => {
-            if (error !== null) {
+            if (error instanceof Error) {
                 reject(error);
             }
         });
--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -19,7 +19,7 @@
 
 /** A bench that hangs must not hold the machine. */
 const longestRunMs: Milliseconds = 1_200_000;
-/** At the deployments' own run times the capacity of a service exceeds what one shared machine can offer three times. */
+/** At the deployments' run times of 5 ms, three times the capacity of a service is more than one machine can offer. */
 const targetTimes: Readonly<Record<string, FleetTimes>> = {
     kyushu: { shortMs: 50, longMs: 1_000 },
     dakar: { shortMs: 100, longMs: 1_000 },
