--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -5,7 +5,7 @@
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import { deployments, type DeploymentShape } from "./deployments";
 import { ArgumentOutcomeKind, type BenchArguments, parseBenchArguments } from "./harness/arguments";
-import { runCase } from "./harness/cases";
+import { runCase, warmUp } from "./harness/cases";
 import { type FleetTimes, startFleet } from "./harness/fleet";
 import { ProcessSet } from "./harness/processes";
 import { publishReport } from "./report";
@@ -32,6 +32,7 @@
     const times = targetTimes[shape.name] ?? { shortMs: shape.shortMs, longMs: shape.longMs };
     const { seed, quick } = settings;
     const fleet = await startFleet({ shape, times, processes, seed });
+    await warmUp({ fleet, shape, times, seed, quick });
     for (const letter of settings.cases) {
         const load = loadavg()[0] ?? 0;
         const { description, metrics } = await runCase(letter, { fleet, shape, times, seed, quick });
