--- a/coordination/admission/test/dispatcher.test.ts
+++ b/coordination/admission/test/dispatcher.test.ts
@@ -150,13 +150,15 @@
             expect(refused).toMatchObject({ kind: DispatchKind.Refused, reason: CallReason.Overloaded });
         });
 
-        it("refuses a waiting call by the tick after its wait has run out, with a time to come back", () => {
+        it("refuses a waiting call by the tick after its wait has run out, also behind a newer one", () => {
             times(7, () => submit());
-            clock.advance(600);
+            clock.advance(250);
+            submit();
+            clock.advance(100);
             expect(dispatcher.tick()).toMatchObject([
                 { kind: DispatchKind.Refused, callId: "call-6", reason: CallReason.Overloaded },
             ]);
-            expect(dispatcher.queuedCalls).toBe(0);
+            expect(dispatcher.queuedCalls).toBe(1);
         });
     });
 
@@ -220,6 +222,23 @@
             expect(dispatcher.callsInFlight).toBe(2);
         });
 
+        it("leave the slots to waiting calls when they are hedges", () => {
+            setUp(1, 1);
+            const [first] = times(3, () => submit());
+            const tried = first?.kind === DispatchKind.Start ? first.target.id : "";
+            const other = tried === "t0" ? "t1" : "t0";
+            const shortly = { callId: "call-0", exclude: [tried] };
+            dispatcher.setTargets([createTarget("t0", 2), createTarget("t1", 2)]);
+            expect(dispatcher.chooseAgain(shortly).kind).toBe(DispatchKind.Refused);
+            dispatcher.cancel("call-2");
+            expect(dispatcher.chooseAgain(shortly)).toMatchObject({ kind: DispatchKind.Start, target: { id: other } });
+        });
+
+        it("never go to an excluded target, even if it is the only one", () => {
+            submit({ callId: "call" });
+            expect(dispatcher.chooseAgain({ callId: "call", exclude: ["t0"] }).kind).toBe(DispatchKind.Refused);
+        });
+
         it("are refused after the call was answered, so that an answered call does not run again", () => {
             setUp(6, 6);
             const first = submit({ callId: "call" });
