Follow the target's own state in the ramp of new targets

Cause: a freshly started node hears of the fleet in several steps, and every target after the first step counted as new, so that the node gave it a tenth of its capacity for up to 5 s. The ramp now starts at the target's since time.

--- a/coordination/routing/src/router.ts
+++ b/coordination/routing/src/router.ts
@@ -155,9 +155,9 @@
             return !hasSamePlaceInRing(before, target);
         }
         const record = new TargetRecord(target, this.options.random);
-        if (this.started) {
-            // Targets that were there before this node started are not cold.
-            record.startRamp(now);
+        if (this.started || target.stateAgeMs !== undefined) {
+            // Targets that were there before this node started are not cold, however late it hears of them.
+            record.startRamp(now - (target.stateAgeMs ?? 0));
         }
         this.records.set(target.id, record);
         return true;
--- a/coordination/routing/src/targetRecord.ts
+++ b/coordination/routing/src/targetRecord.ts
@@ -60,9 +60,9 @@
         return this.classes[RunTimeClass.Short].unanswered.size + this.classes[RunTimeClass.Long].unanswered.size;
     }
 
-    /** Starts the ramp of a target that has just appeared or left its cold start. */
-    startRamp(now: Milliseconds): void {
-        this.rampFrom = now;
+    /** Sets the time at which the target appeared or left its cold start. */
+    startRamp(readySince: Milliseconds): void {
+        this.rampFrom = readySince;
     }
 
     /** Takes the membership table's latest word on the target. */
@@ -77,7 +77,7 @@
         }
         if (target.state === TargetState.Ready && before.state !== TargetState.Ready) {
             this.forgetRefusals();
-            this.startRamp(now);
+            this.startRamp(now - (target.stateAgeMs ?? 0));
         }
     }
 
--- a/coordination/routing/src/types.ts
+++ b/coordination/routing/src/types.ts
@@ -18,6 +18,8 @@
     readonly connections: number;
     /** False while the target's node is dead or its zone does not respond. */
     readonly reachable: boolean;
+    /** Time that the target has been in its state; absent if unknown, and then it counts as new. */
+    readonly stateAgeMs?: Milliseconds;
 }
 
 /** Options of a `Router`. */
--- a/coordination/routing/test/router.test.ts
+++ b/coordination/routing/test/router.test.ts
@@ -205,6 +205,20 @@
             router.setTargets([target("1")]);
             expect(viewOf("1").ramp).toBe(1);
         });
+
+        it("does not take a target as cold because the node has only now heard of it", () => {
+            router.setTargets([target("1", { stateAgeMs: 60_000 })]);
+            router.setTargets([target("1"), target("2", { stateAgeMs: 60_000 }), target("3", { stateAgeMs: 1_000 })]);
+            expect(viewOf("2").ramp).toBe(1);
+            expect(viewOf("3").ramp).toBeCloseTo(0.2);
+        });
+
+        it("counts the ramp after a cold start from the target's own change of state", () => {
+            router.setTargets([target("1", { state: TargetState.Warming, stateAgeMs: 4_000 })]);
+            expect(viewOf("1").ramp).toBeCloseTo(0.1);
+            router.setTargets([target("1", { state: TargetState.Ready, stateAgeMs: 2_500 })]);
+            expect(viewOf("1").ramp).toBeCloseTo(0.5);
+        });
     });
 
     describe("cost", () => {
--- a/daemons/node/src/node.ts
+++ b/daemons/node/src/node.ts
@@ -149,6 +149,7 @@
             dispatcher: this.dispatcher,
             router: this.router,
             client: this.targetClient,
+            clock: this.clock,
             node: this.node,
         });
         this.connectTasks();
--- a/daemons/node/src/tasks/targetTask.ts
+++ b/daemons/node/src/tasks/targetTask.ts
@@ -4,7 +4,7 @@
 import type { Dispatcher } from "@bilberrycroft/coordination.admission";
 import { type Entry, Liveness, type LocatedTarget, type Membership } from "@bilberrycroft/coordination.membership";
 import type { Router, RoutingTarget } from "@bilberrycroft/coordination.routing";
-import type { Milliseconds } from "@bilberrycroft/core.clock";
+import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import type { TargetClient } from "@bilberrycroft/transport.calls";
 import { auditTime, type Observable, type Subscription } from "rxjs";
 
@@ -18,6 +18,7 @@
     readonly dispatcher: Dispatcher;
     readonly router: Router;
     readonly client: TargetClient;
+    readonly clock: Clock;
     readonly node: string;
 }
 
@@ -35,8 +36,9 @@
     }
 
     private update(): void {
-        const { membership, dispatcher, router, client, node } = this.options;
-        const targets = membership.targets().map(toRoutingTarget);
+        const { membership, dispatcher, router, client, clock, node } = this.options;
+        const wallTime = clock.wallTime();
+        const targets = membership.targets().map(located => toRoutingTarget(located, wallTime));
         const callers = membership.entries().filter(isRunning).sort(byZone).map(entry => entry.node);
         dispatcher.setTargets(targets);
         router.setCallers(Math.max(1, callers.length), Math.max(0, callers.indexOf(node)));
@@ -51,7 +53,8 @@
     return entry.liveness === Liveness.Alive || entry.liveness === Liveness.Suspect;
 }
 
-function toRoutingTarget(located: LocatedTarget): RoutingTarget {
+/** `since` is from the clock of the target's host; a difference between the clocks shifts only the ramp. */
+function toRoutingTarget(located: LocatedTarget, wallTime: Milliseconds): RoutingTarget {
     const { target, zone } = located;
     return {
         id: target.id,
@@ -62,6 +65,7 @@
         slots: target.slots,
         connections: target.connections,
         reachable: located.reachable && isRunning(located),
+        stateAgeMs: Math.max(0, wallTime - target.since),
     };
 }
 
