--- a/daemons/node/src/node.ts
+++ b/daemons/node/src/node.ts
@@ -166,6 +166,7 @@
             dispatcher: this.dispatcher,
             router: this.router,
             client: this.targetClient,
+            clock: this.clock,
             node: this.node,
         });
         this.lease = this.createLeaseTask();
