Use one reader of bodies and one status report

Cause: the stand-in store had its own copy of the bounded body reader, and the operators' client its own copy of the status report of the control protocol. Change: both use the shared ones; an oversize body is discarded as it arrives, so that its sender can read the refusal.

--- a/cli/operator/test/fakeNode.ts
+++ b/cli/operator/test/fakeNode.ts
@@ -25,7 +25,16 @@
 }
 
 export function answer(node: string, members: readonly MemberReport[], change: Partial<StatusReport> = {}) {
-    const report: StatusReport = { node, zone: "east", ...head, heardHead: undefined, members, ...change };
+    const report: StatusReport = {
+        node,
+        zone: "east",
+        ...head,
+        heardHead: undefined,
+        notServing: undefined,
+        storeReachable: true,
+        members,
+        ...change,
+    };
     return { kind: NodeAnswerKind.Answered as const, address: `${node}:1`, report };
 }
 
--- a/standins/store/src/handler.ts
+++ b/standins/store/src/handler.ts
@@ -13,8 +13,8 @@
     type WriteCondition,
     WriteConditionKind,
 } from "@bilberrycroft/protocol.store";
+import { BodyOutcomeKind, readBody } from "@bilberrycroft/transport.calls";
 import { z } from "zod";
-import { BodyOutcomeKind, readBoundedBody } from "./body";
 import {
     respondToList,
     respondToRead,
@@ -98,17 +98,18 @@
     if (condition === undefined) {
         return refuseCondition(call);
     }
-    const body = await readBoundedBody(call.request, maxObjectBytes);
+    const body = await readBody(call.request, maxObjectBytes);
     switch (body.kind) {
-        case BodyOutcomeKind.Broken:
+        case BodyOutcomeKind.Truncated:
             call.response.destroy();
             return;
         case BodyOutcomeKind.TooLarge:
             return respondWithReason(call.response, StoreStatus.PayloadTooLarge, `over ${maxObjectBytes} bytes`);
         case BodyOutcomeKind.Complete: {
-            const refusal = refuseBadValue(body.text);
+            const value = body.body.toString("utf8");
+            const refusal = refuseBadValue(value);
             return refusal === undefined
-                ? respondToWrite(call.response, await call.store.write(key, body.text, condition))
+                ? respondToWrite(call.response, await call.store.write(key, value, condition))
                 : respondWithReason(call.response, StoreStatus.BadRequest, refusal.reason);
         }
     }
@@ -149,8 +150,8 @@
 
 async function handleFault(call: StoreRequest): Promise<void> {
     const maxFaultBytes = 1_000;
-    const body = await readBoundedBody(call.request, maxFaultBytes);
-    const fault = storeFaultSchema.safeParse(body.kind === BodyOutcomeKind.Complete ? parseJson(body.text) : undefined);
+    const body = await readBody(call.request, maxFaultBytes);
+    const fault = storeFaultSchema.safeParse(body.kind === BodyOutcomeKind.Complete ? parseJson(body.body.toString("utf8")) : undefined);
     if (!fault.success) {
         return respondWithReason(call.response, StoreStatus.BadRequest, z.prettifyError(fault.error));
     }
--- a/transport/calls/src/bodies.ts
+++ b/transport/calls/src/bodies.ts
@@ -17,15 +17,15 @@
     | { readonly kind: BodyOutcomeKind.TooLarge }
     | { readonly kind: BodyOutcomeKind.Truncated };
 
-/** Reads a whole body; stops reading as soon as it passes `maxBytes`. */
+/** Reads a whole body. A body over the bound is discarded as it arrives, so that the sender can read the response. */
 export function readBody(message: IncomingMessage, maxBytes: number): Promise<BodyOutcome> {
     return new Promise(resolve => {
-        const chunks: Buffer[] = [];
+        let chunks: Buffer[] = [];
         let size = 0;
         message.on("data", (chunk: Buffer) => {
             size += chunk.length;
             if (size > maxBytes) {
-                message.pause();
+                chunks = [];
                 resolve({ kind: BodyOutcomeKind.TooLarge });
                 return;
             }
