--- a/bench/src/dispatchModel/senders.ts
+++ b/bench/src/dispatchModel/senders.ts
@@ -34,6 +34,8 @@
 
 const sameZoneOneWayMs = 0.15;
 const tickMs = 50;
+/** Part of the calls that may be hedged, as in the retries package. */
+const hedgeBudget = 0.05;
 
 function oneWayMs(options: SenderOptions, target: RoutingTarget): Milliseconds {
     return sameZoneOneWayMs + (target.zone === options.zone ? 0 : options.zoneDistanceMs / 2);
@@ -94,6 +96,8 @@
     private readonly router: Router;
     private readonly dispatcher: Dispatcher;
     private readonly calls = new Map<string, CallInProgress>();
+    private startedCalls = 0;
+    private hedges = 0;
 
     constructor(private readonly options: SenderOptions, private readonly hedgeAfterMs: Milliseconds | undefined) {
         const { clock } = options.simulation;
@@ -139,7 +143,8 @@
         this.start(progress, event);
         const { runTimeClass } = progress.call.route;
         if (this.hedgeAfterMs !== undefined && runTimeClass === RunTimeClass.Short) {
-            this.options.simulation.after(this.hedgeAfterMs, () => this.tryAgain(progress));
+            this.startedCalls++;
+            this.options.simulation.after(this.hedgeAfterMs, () => this.hedge(progress));
         }
         const remainingMs = Math.max(0, progress.call.deadlineAt - this.options.simulation.clock.now());
         this.options.simulation.after(remainingMs, () => {
@@ -171,6 +176,12 @@
         }
     }
 
+    private hedge(progress: CallInProgress): void {
+        if (this.hedges < this.startedCalls * hedgeBudget && this.tryAgain(progress)) {
+            this.hedges++;
+        }
+    }
+
     /** Starts a retry or hedge; a call has at most two attempts. */
     private tryAgain(progress: CallInProgress): boolean {
         const { callId } = progress.call;
