Measure the distance to other zones from new connections

Cause: routing compares zones by measured distance, and nothing measured it, so every other zone counted as 1 ms away. Change: the time that a new connection takes is reported to routing with its zone. Ruled out: probes, which would cost calls of their own.

--- a/daemons/node/src/calls/callExecution.ts
+++ b/daemons/node/src/calls/callExecution.ts
@@ -47,6 +47,8 @@
     readonly targets: TargetClient;
     /** Takes what the dispatcher decided for other calls. */
     dispatch(events: readonly DispatchEvent[]): void;
+    /** Takes the time that a new connection to a zone took. */
+    distanceMeasured(zone: string, roundTripMs: Milliseconds): void;
     /** Takes a connection that broke with the call in flight. */
     connectionBroke(broken: BrokenConnection): void;
     /** Counts an additional attempt. */
@@ -249,6 +251,10 @@
         const { services, call } = this;
         const { target } = inFlight.start;
         this.attempts.delete(target.id);
+        const connectMs = inFlight.attempt.connectMs();
+        if (connectMs !== undefined) {
+            services.distanceMeasured(target.zone, connectMs);
+        }
         if (result.kind === AttemptResultKind.Broken && !this.streaming) {
             services.connectionBroke({
                 target: target.id,
--- a/daemons/node/src/calls/callTask.ts
+++ b/daemons/node/src/calls/callTask.ts
@@ -8,6 +8,7 @@
 import { type DispatchEvent, type Dispatcher, type TenantShare } from "@bilberrycroft/coordination.admission";
 import { type CallAtCrash, type Quarantine, QuarantineDecisionKind, type QuarantineReport } from "@bilberrycroft/coordination.quarantine";
 import type { Retries } from "@bilberrycroft/coordination.retries";
+import type { Router } from "@bilberrycroft/coordination.routing";
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import type { Logger } from "@bilberrycroft/core.logger";
 import { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
@@ -41,6 +42,7 @@
 export interface CallTaskOptions {
     readonly clock: Clock;
     readonly dispatcher: Dispatcher;
+    readonly router: Router;
     readonly retries: Retries;
     readonly quarantine: Quarantine;
     readonly claims: Claims;
@@ -78,6 +80,7 @@
             retries: options.retries,
             targets: options.targets,
             dispatch: events => this.dispatch(events),
+            distanceMeasured: (zone, roundTripMs) => options.router.distanceMeasured({ zone, roundTripMs }),
             connectionBroke: broken => this.connectionBroke(broken),
             countAttempt: kind => options.histograms.count(attemptCounters[kind]),
         };
--- a/daemons/node/src/node.ts
+++ b/daemons/node/src/node.ts
@@ -81,7 +81,7 @@
     private readonly logger: Logger;
     private readonly store: Store;
     private readonly histograms = new CallHistograms();
-    private readonly targetClient = new TargetClient();
+    private readonly targetClient = new TargetClient(this.clock);
     private readonly control: ControlClient;
     private readonly router: Router;
     private readonly dispatcher: Dispatcher;
@@ -285,6 +285,7 @@
         return new CallTask({
             clock,
             dispatcher: this.dispatcher,
+            router: this.router,
             retries: new Retries({ clock, random }),
             quarantine: this.quarantine,
             claims: this.claims,
--- a/transport/calls/src/targetClient.ts
+++ b/transport/calls/src/targetClient.ts
@@ -5,7 +5,7 @@
  * response can never be read as the response to another call.
  */
 import { Agent, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage, request } from "node:http";
-import type { Milliseconds } from "@bilberrycroft/core.clock";
+import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 
 const idleConnectionMs: Milliseconds = 20_000;
 
@@ -49,6 +49,8 @@
 export interface Attempt {
     /** Settles once; never rejects. */
     readonly event: Promise<AttemptEvent>;
+    /** Time that the attempt's own connection took; `undefined` until it is made, and for a reused connection. */
+    connectMs(): Milliseconds | undefined;
     /** Abandons the attempt and its connection. */
     cancel(): void;
 }
@@ -57,6 +59,8 @@
 export class TargetClient {
     private readonly agents = new Map<string, Agent>();
 
+    constructor(private readonly clock: Clock) {}
+
     /** Sets how many connections the pool of a target may hold; calls beyond it wait for a free connection. */
     setConnectionLimit(address: string, connections: number): void {
         this.agentOf(address).maxSockets = Math.max(1, connections);
@@ -83,9 +87,14 @@
             headers: attempt.headers as Record<string, string | string[]>,
             agent: attempt.freshConnection ? false : this.agentOf(attempt.address),
         });
-        const event = observeAttempt(clientRequest);
+        const connection = observeConnection(clientRequest, this.clock);
+        const event = observeAttempt(clientRequest, connection);
         clientRequest.end(attempt.body);
-        return { event, cancel: () => clientRequest.destroy(new CancelledAttempt()) };
+        return {
+            event,
+            connectMs: () => connection.connectMs,
+            cancel: () => clientRequest.destroy(new CancelledAttempt()),
+        };
     }
 
     /** Ends all connections. */
@@ -109,16 +118,28 @@
 /** Marks a connection that was destroyed on purpose. */
 class CancelledAttempt extends Error {}
 
-function observeAttempt(clientRequest: ClientRequest): Promise<AttemptEvent> {
-    let connected = false;
+/** Connection of an attempt. */
+interface Connection {
+    isMade: boolean;
+    connectMs: Milliseconds | undefined;
+}
+
+function observeConnection(clientRequest: ClientRequest, clock: Clock): Connection {
+    const connection: Connection = { isMade: false, connectMs: undefined };
     clientRequest.on("socket", socket => {
-        connected = !socket.connecting;
-        if (!connected) {
+        connection.isMade = !socket.connecting;
+        if (socket.connecting) {
+            const startedAt = clock.now();
             socket.once("connect", () => {
-                connected = true;
+                connection.isMade = true;
+                connection.connectMs = clock.now() - startedAt;
             });
         }
     });
+    return connection;
+}
+
+function observeAttempt(clientRequest: ClientRequest, connection: Connection): Promise<AttemptEvent> {
     return new Promise(resolve => {
         clientRequest.on("response", response => {
             response.on("error", () => undefined);
@@ -129,7 +150,7 @@
                 response,
             });
         });
-        clientRequest.on("error", error => resolve(classifyFailure(error, connected)));
+        clientRequest.on("error", error => resolve(classifyFailure(error, connection.isMade)));
         clientRequest.on("close", () => resolve({ kind: AttemptEventKind.Broken, reason: "connection closed" }));
     });
 }
