Keep error responses off connections with a call in progress

Cause: bytes after a request that do not parse made the call listener write "400, not-run" on the connection at once. A caller whose call was in progress read it as the response to that call, although the call ran; in a streamed response the bytes became part of the body. Change: such a connection is closed. An error response is still sent if the connection has no response in progress, or only that to the request that did not parse.

--- a/transport/calls/src/listener.ts
+++ b/transport/calls/src/listener.ts
@@ -3,6 +3,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import type { Duplex } from "node:stream";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 
 const headersTimeoutMs: Milliseconds = 10_000;
@@ -36,6 +37,7 @@
 /** Binds a listener; rejects when the address cannot be bound. */
 export function startListener(options: ListenerOptions): Promise<Listener> {
     let stopping = false;
+    const openResponses = new OpenResponses();
     const server = createServer({
         maxHeaderSize: maxHeaderBytes,
         headersTimeout: Math.min(headersTimeoutMs, options.requestTimeoutMs),
@@ -47,10 +49,15 @@
             response.setHeader("connection", "close");
         }
         response.on("error", () => undefined);
+        openResponses.add(request.socket, response);
         options.handle(request, response);
     });
     server.maxConnections = options.maxConnections;
     server.on("clientError", (_error, socket) => {
+        if (!openResponses.mayRefuse(socket)) {
+            socket.destroy();
+            return;
+        }
         socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\nx-mesh-outcome: not-run\r\n\r\n");
     });
     return new Promise((resolve, reject) => {
@@ -74,6 +81,27 @@
     });
 }
 
+/**
+ * Responses that are not finished, by connection. Bytes that do not parse may follow a request that is being answered;
+ * an error response on that connection would be taken for the answer, or for a part of it.
+ */
+class OpenResponses {
+    private readonly responses = new WeakMap<Duplex, Set<ServerResponse>>();
+
+    add(socket: Duplex, response: ServerResponse): void {
+        const open = this.responses.get(socket) ?? new Set();
+        this.responses.set(socket, open);
+        open.add(response);
+        response.once("close", () => open.delete(response));
+    }
+
+    /** Whether the connection has no response in progress, or only that to the request that did not parse. */
+    mayRefuse(socket: Duplex): boolean {
+        const open = [...this.responses.get(socket) ?? []];
+        return open.every(response => !response.headersSent && !response.req.complete);
+    }
+}
+
 function formatAddress(server: Server): string {
     const { address, port, family } = server.address() as AddressInfo;
     return family === "IPv6" ? `[${address}]:${port}` : `${address}:${port}`;
