Take an answer with a status below 200 for a broken connection

Cause: Node's parser accepts status 099, but writing a response head with it throws, and the rejection ends the node. Change: an attempt whose answer has a status below 200 counts as broken. Before: the row "status below 100" of answers.test.ts ends in an unhandled rejection. After: it passes. Conclusion: one faulty target can no longer end the nodes that call it.

--- a/transport/calls/src/targetClient.ts
+++ b/transport/calls/src/targetClient.ts
@@ -8,6 +8,8 @@
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 
 const idleConnectionMs: Milliseconds = 20_000;
+// Node's parser accepts any three digits, but a server response with a status below 100 throws.
+const lowestFinalStatus = 200;
 
 /** Kinds of `AttemptEvent`. */
 export enum AttemptEventKind {
@@ -122,9 +124,14 @@
     return new Promise(resolve => {
         clientRequest.on("response", response => {
             response.on("error", () => undefined);
+            const status = response.statusCode ?? 0;
+            if (status < lowestFinalStatus) {
+                clientRequest.destroy(new Error(`status ${status} does not end a call`));
+                return;
+            }
             resolve({
                 kind: AttemptEventKind.Responded,
-                status: response.statusCode ?? 502,
+                status,
                 headers: response.headers,
                 response,
             });
