Refuse addresses that no connection can be made to

Cause: a target announced with port 99999 got into the table, and a call routed to it was never answered, because the HTTP client throws at the port. Change: addresses in control messages must be an IP number and a port from 1 to 65535, as in the settings. Before: the seven rows of refused addresses in malformed.test.ts get 204. After: they get 400.

--- a/protocol/control/src/schemas.ts
+++ b/protocol/control/src/schemas.ts
@@ -13,7 +13,16 @@
 const maxEdits = 100_000;
 
 export const nameSchema = z.string().max(maxNameLength);
-const addressSchema = z.string().min(3).max(maxNameLength);
+const highestPort = 65_535;
+const addressPattern = /^(?:\[[0-9a-fA-F:.]+\]|[0-9.]+):(\d{1,5})$/;
+// Node's HTTP client throws at a port that cannot exist, so such an address must not get into the table.
+const addressSchema = z.string().max(maxNameLength).refine(isAddress, "must be <IP number>:<port>");
+
+function isAddress(text: string): boolean {
+    const port = Number(addressPattern.exec(text)?.[1] ?? 0);
+    return port > 0 && port <= highestPort;
+}
+
 const countSchema = z.number().int().min(0).max(1_000_000);
 const timeSchema = z.number().min(0).max(Number.MAX_SAFE_INTEGER);
 export const versionSchema = z.number().int().min(0).max(Number.MAX_SAFE_INTEGER);
