--- a/daemons/node/src/calls/callTask.ts
+++ b/daemons/node/src/calls/callTask.ts
@@ -26,7 +26,7 @@
 } from "./callExecution";
 import { type CallHead, readCallHead } from "./callRequest";
 import type { Claims } from "./claims";
-import { sendOwnResponse } from "./responses";
+import { bodyTooLargeStatus, sendOwnResponse } from "./responses";
 
 // Queued calls are started by the completions of others; the tick only expires them and repairs a missed start.
 const tickMs: Milliseconds = 20;
@@ -138,7 +138,8 @@
         const body = await readBody(request, this.options.maxRequestBytes);
         if (body.kind !== BodyOutcomeKind.Complete) {
             response.setHeader("connection", "close");
-            return this.refuse(response, CallReason.BadRequest);
+            const status = body.kind === BodyOutcomeKind.TooLarge ? bodyTooLargeStatus : undefined;
+            return this.refuse(response, CallReason.BadRequest, undefined, status);
         }
         const call = this.accept({ head, request, body: body.body, route, startedAt, configuration });
         const result = await this.run(call, response);
@@ -218,9 +219,14 @@
         return { outcome: CallOutcome.NotRun, reason, target: undefined, answer: undefined };
     }
 
-    private refuse(response: ServerResponse, reason: CallReason, retryAfterMs?: Milliseconds): void {
+    private refuse(
+        response: ServerResponse,
+        reason: CallReason,
+        retryAfterMs?: Milliseconds,
+        status?: number,
+    ): void {
         const version = this.configuration?.snapshot.version ?? 0;
-        sendOwnResponse(response, { outcome: CallOutcome.NotRun, reason, retryAfterMs, version });
+        sendOwnResponse(response, { outcome: CallOutcome.NotRun, reason, retryAfterMs, version, status });
     }
 
     private record(call: AcceptedCall, result: CallResult, startedAt: Milliseconds): void {
--- a/daemons/node/src/calls/responses.ts
+++ b/daemons/node/src/calls/responses.ts
@@ -28,6 +28,9 @@
     [CallReason.BadRequest]: 400,
 };
 
+/** Status of a body over `maxRequestBytes`; its reason is `bad-request`. */
+export const bodyTooLargeStatus = 413;
+
 /** A response without a target's answer. */
 export interface OwnResponse {
     readonly outcome: CallOutcome.NotRun | CallOutcome.Unknown;
@@ -35,6 +38,8 @@
     readonly retryAfterMs: Milliseconds | undefined;
     /** Version in force; 0 without configuration. */
     readonly version: number;
+    /** In place of the status of the reason. */
+    readonly status?: number | undefined;
 }
 
 /** Sends a response that the node made itself. */
@@ -53,7 +58,7 @@
     if (own.retryAfterMs !== undefined) {
         headers["retry-after"] = String(Math.max(1, Math.ceil(own.retryAfterMs / millisecondsPerSecond)));
     }
-    response.writeHead(statuses[own.reason], headers);
+    response.writeHead(own.status ?? statuses[own.reason], headers);
     response.end(`${JSON.stringify({ outcome: own.outcome, reason: own.reason })}\n`);
 }
 
