--- a/coordination/routing/test/router.test.ts
+++ b/coordination/routing/test/router.test.ts
@@ -175,6 +175,14 @@
             expect(chooseOften()).toEqual({ 2: 100 });
         });
 
+        it("is tried again by a short call first, because a long one would delay the result", () => {
+            fail("1", AttemptResult.ConnectionRefused);
+            clock.advance(150);
+            const onlyFirst = { exclude: ["2"] };
+            expect(choose({ ...onlyFirst, runTimeClass: RunTimeClass.Long })).toBe(NoTargetReason.Refusing);
+            expect(choose(onlyFirst)).toBe("1");
+        });
+
         it("is tried again after a growing wait, not as often as calls arrive", () => {
             const waits: number[] = [];
             for (let round = 0; round < 4; round++) {
@@ -205,6 +213,20 @@
             router.setTargets([target("1")]);
             expect(viewOf("1").ramp).toBe(1);
         });
+
+        it("does not take a target as cold because the node has only now heard of it", () => {
+            router.setTargets([target("1", { stateAgeMs: 60_000 })]);
+            router.setTargets([target("1"), target("2", { stateAgeMs: 60_000 }), target("3", { stateAgeMs: 1_000 })]);
+            expect(viewOf("2").ramp).toBe(1);
+            expect(viewOf("3").ramp).toBeCloseTo(0.2);
+        });
+
+        it("counts the ramp after a cold start from the target's own change of state", () => {
+            router.setTargets([target("1", { state: TargetState.Warming, stateAgeMs: 4_000 })]);
+            expect(viewOf("1").ramp).toBeCloseTo(0.1);
+            router.setTargets([target("1", { state: TargetState.Ready, stateAgeMs: 2_500 })]);
+            expect(viewOf("1").ramp).toBeCloseTo(0.5);
+        });
     });
 
     describe("cost", () => {
