Measure fleets of node processes

Adds `npm run capacity -- fleet`, which starts node processes on loopback and measures convergence, processor time, control bytes, memory and store calls, and the metrics control_calls_sent and control_calls_received.

--- /dev/null
+++ b/bench/src/capacity/main.ts
@@ -0,0 +1,40 @@
+/**
+ * `capacity`: measures what one node, one zone reader and the store use at several sizes. `docs/CAPACITY.md` lists the
+ * figures and the command that gave each.
+ */
+import { cac } from "cac";
+import { runFleet } from "./fleetRun";
+import { endProcessesAtExit } from "./processes";
+
+const largestFleet = 160;
+
+endProcessesAtExit();
+const program = cac("capacity");
+program
+    .command("fleet", "Measure fleets of node processes on loopback")
+    .option("--sizes <list>", "Numbers of nodes, at most 160 each", { default: "10,40,160" })
+    .option("--idle <seconds>", "Length of the idle period", { default: 30 })
+    .option("--changes <n>", "Changes of the rules file", { default: 24 })
+    .option("--spacing <ms>", "Time between two changes", { default: 2_000 })
+    .option("--node-flags <flags>", "Flags of Node for each process, separated by spaces", { default: "" })
+    .option("--no-failures", "Skip the failures")
+    .action(async options => {
+        for (const size of parseNumbers(options.sizes).filter(value => value <= largestFleet)) {
+            await runFleet({
+                size,
+                idleSeconds: Number(options.idle),
+                changes: Number(options.changes),
+                changeSpacingMs: Number(options.spacing),
+                nodeFlags: String(options.nodeFlags).split(" ").filter(flag => flag !== ""),
+                failures: options.failures,
+            });
+        }
+        process.exit(0);
+    });
+program.help();
+program.parse(process.argv, { run: false });
+await program.runMatchedCommand();
+
+function parseNumbers(list: unknown): readonly number[] {
+    return String(list).split(",").map(Number).filter(value => value > 0);
+}
--- a/daemons/node/src/metrics.ts
+++ b/daemons/node/src/metrics.ts
@@ -14,6 +14,8 @@
     callsQueued(): number;
     controlBytesSent(): number;
     controlBytesReceived(): number;
+    controlCallsSent(): number;
+    controlCallsReceived(): number;
     knownNodes(): number;
 }
 
@@ -31,6 +33,8 @@
     addValue(registry, "nodes_known", "Nodes in the membership table.", () => source.knownNodes());
     addValue(registry, "control_sent_bytes", "Bytes of control messages sent.", () => source.controlBytesSent());
     addValue(registry, "control_received_bytes", "Bytes of control messages received.", () => source.controlBytesReceived());
+    addValue(registry, "control_calls_sent", "Control calls to other nodes that were answered.", () => source.controlCallsSent());
+    addValue(registry, "control_calls_received", "Control calls of other nodes and operators.", () => source.controlCallsReceived());
     const calls = addCallGauges(registry);
     return {
         render: () => {
--- a/daemons/node/src/node.ts
+++ b/daemons/node/src/node.ts
@@ -94,6 +94,8 @@
     private controlListener!: Listener;
     private bytesSent = 0;
     private bytesReceived = 0;
+    private callsSent = 0;
+    private callsReceived = 0;
 
     constructor(private readonly options: NodeOptions) {
         const { settings } = options;
@@ -103,7 +105,7 @@
         const { random } = this;
         this.logger = createLogger("node", settings.logLevel);
         this.store = options.store ?? new HttpStore({ address: settings.store });
-        this.control = new ControlClient({ countBytes: (sent, received) => this.countBytes(sent, received) });
+        this.control = new ControlClient({ countBytes: (sent, received) => this.countCallSent(sent, received) });
         this.router = new Router({ clock, random, zone: settings.zone });
         this.dispatcher = new Dispatcher({ clock, random, router: this.router });
         this.quarantine = new Quarantine({ clock });
@@ -146,7 +148,7 @@
             announce: announcement =>
                 this.members.tell({ kind: MembershipInputKind.TargetAnnounced, announcement }),
             renderMetrics: () => this.metrics.render(),
-            countBytes: received => this.countBytes(0, received),
+            countBytes: received => this.countCallReceived(received),
         });
         this.members = this.createMembershipTask();
         this.targets = new TargetTask({
@@ -356,15 +358,23 @@
             callsQueued: () => this.dispatcher.queuedCalls,
             controlBytesSent: () => this.bytesSent,
             controlBytesReceived: () => this.bytesReceived,
+            controlCallsSent: () => this.callsSent,
+            controlCallsReceived: () => this.callsReceived,
             knownNodes: () => this.members.membership.entries().length,
         });
     }
 
-    private countBytes(sent: number, received: number): void {
+    private countCallSent(sent: number, received: number): void {
+        this.callsSent++;
         this.bytesSent += sent;
         this.bytesReceived += received;
     }
 
+    private countCallReceived(received: number): void {
+        this.callsReceived++;
+        this.bytesReceived += received;
+    }
+
     private partLogger(part: string): Logger {
         return createLogger(part, this.options.settings.logLevel);
     }
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -14,6 +14,7 @@
     bilberrycroft: "cli/operator/src/main.ts",
     demo: "bench/src/demo.ts",
     bench: "bench/src/main.ts",
+    capacity: "bench/src/capacity/main.ts",
 };
 
 const requireShim = "import { createRequire as createRequireForBundle } from \"node:module\";"
