--- a/bench/src/capacity/main.ts
+++ b/bench/src/capacity/main.ts
@@ -3,6 +3,7 @@
  * figures and the command that gave each.
  */
 import { cac } from "cac";
+import { runDecisions } from "./decisions";
 import { runFleet } from "./fleetRun";
 import { endProcessesAtExit } from "./processes";
 
@@ -31,6 +32,14 @@
         }
         process.exit(0);
     });
+program
+    .command("decisions", "Measure the control decisions alone, in one process on a manual clock")
+    .option("--sizes <list>", "Numbers of nodes", { default: "40,160,670" })
+    .option("--zones <n>", "Number of zones", { default: 10 })
+    .option("--no-failures", "Skip the failures")
+    .action(options => {
+        parseNumbers(options.sizes).forEach(size => runDecisions(size, Number(options.zones), options.failures));
+    });
 program.help();
 program.parse(process.argv, { run: false });
 await program.runMatchedCommand();
--- /dev/null
+++ b/bench/src/capacity/modelStore.ts
@@ -0,0 +1,57 @@
+/**
+ * The store as decisions see it: zone records and the accepted configuration, with counts of calls.
+ */
+import {
+    type LeaseCondition,
+    LeaseConditionKind,
+    LeaseOutcomeKind,
+    type LeaseReadOutcome,
+    type LeaseRecord,
+    type LeaseWriteOutcome,
+} from "@bilberrycroft/coordination.lease";
+import type { Snapshot } from "@bilberrycroft/state.snapshots";
+
+/** Objects in memory. */
+export class ModelStore {
+    readonly calls = { read: 0, write: 0, list: 0, watch: 0 };
+    current: Snapshot | undefined;
+    private readonly zones = new Map<string, { readonly revision: number; readonly record: LeaseRecord }>();
+    private lastRevision = 0;
+
+    listZones(): readonly string[] {
+        this.calls.list++;
+        return [...this.zones.keys()];
+    }
+
+    readZone(zone: string): LeaseRecord | undefined {
+        this.calls.read++;
+        return this.zones.get(zone)?.record;
+    }
+
+    readCurrent(): Snapshot | undefined {
+        this.calls.read++;
+        return this.current;
+    }
+
+    readLease(zone: string): LeaseReadOutcome {
+        this.calls.read++;
+        const held = this.zones.get(zone);
+        return held === undefined
+            ? { kind: LeaseOutcomeKind.Absent }
+            : { kind: LeaseOutcomeKind.Done, revision: String(held.revision), record: held.record };
+    }
+
+    writeLease(zone: string, record: LeaseRecord, condition: LeaseCondition): LeaseWriteOutcome {
+        this.calls.write++;
+        const held = this.zones.get(zone);
+        const holds = condition.kind === LeaseConditionKind.Absent
+            ? held === undefined
+            : String(held?.revision) === condition.revision;
+        if (!holds) {
+            return { kind: LeaseOutcomeKind.Conflict };
+        }
+        const revision = ++this.lastRevision;
+        this.zones.set(zone, { revision, record });
+        return { kind: LeaseOutcomeKind.Done, revision: String(revision) };
+    }
+}
