--- /dev/null
+++ b/bench/src/capacity/calls.ts
@@ -0,0 +1,116 @@
+/**
+ * Processor time and latency of calls through one node process with one target process.
+ */
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { type LoadResult, RateProfileKind, runLoad } from "../load";
+import { Fleet, type FleetNode } from "./fleet";
+import { ObservedProcess } from "./processes";
+import { nameService } from "./rulesFile";
+import { round } from "./statistics";
+
+const targetBinary = "dist/bilberrycroft-target.mjs";
+const settleMs = 5_000;
+const warmupMs = 5_000;
+
+/** Options of `runCalls`. */
+export interface CallRunOptions {
+    readonly rates: readonly number[];
+    readonly seconds: number;
+    readonly nodeFlags: readonly string[];
+}
+
+/** Runs each rate through the node and straight to the target. */
+export async function runCalls(options: CallRunOptions): Promise<void> {
+    const fleet = new Fleet({ size: 1, zones: 1, nodeFlags: options.nodeFlags, announceTargets: false });
+    const folder = mkdtempSync(join(tmpdir(), "bilberrycroft-target-"));
+    let target: ObservedProcess | undefined;
+    try {
+        await fleet.start();
+        const node = fleet.nodes[0] as FleetNode;
+        await sleep(settleMs);
+        const started = startTarget(node, folder);
+        target = started.process;
+        const targetAddress = await started.address;
+        await sleep(settleMs);
+        await measureIdle(node, options.seconds);
+        for (const rate of options.rates) {
+            await measureRate(node, targetAddress, rate, options.seconds * 1_000);
+        }
+    }
+    finally {
+        await target?.kill();
+        await fleet.close();
+        rmSync(folder, { recursive: true, force: true });
+    }
+}
+
+function startTarget(node: FleetNode, folder: string): { process: ObservedProcess; address: Promise<string> } {
+    const file = join(folder, "target.yaml");
+    writeFileSync(file, JSON.stringify({
+        id: "target-0",
+        service: nameService(0),
+        slots: 12,
+        shortMs: 2,
+        jitter: 0,
+        coldStartMs: 0,
+        nodeControl: node.control,
+        nodeCalls: node.calls,
+    }));
+    let found: (address: string) => void = () => undefined;
+    const address = new Promise<string>(resolve => {
+        found = resolve;
+    });
+    const process = new ObservedProcess([targetBinary, "--settings", file], line => {
+        const match = /"address":"([^"]+)"/.exec(line.text);
+        if (match !== null) { // eslint-disable-line no-restricted-syntax -- RegExp.exec gives null
+            found(match[1] as string);
+        }
+    });
+    return { process, address };
+}
+
+async function measureIdle(node: FleetNode, seconds: number): Promise<void> {
+    const before = node.process?.processorMs() ?? 0;
+    await sleep(seconds * 1_000);
+    const processorMs = round(((node.process?.processorMs() ?? 0) - before) / seconds);
+    console.log(JSON.stringify({ what: "idle, one node with its target", processorMs }));
+}
+
+async function measureRate(node: FleetNode, target: string, rate: number, durationMs: number): Promise<void> {
+    // The first calls run code that is not compiled yet.
+    await load(node.calls, rate, warmupMs);
+    const before = node.process?.processorMs() ?? 0;
+    const startedAt = performance.now();
+    const through = await load(node.calls, rate, durationMs);
+    const seconds = (performance.now() - startedAt) / 1_000;
+    const processorMs = ((node.process?.processorMs() ?? 0) - before) / seconds;
+    const direct = await load(target, rate, durationMs);
+    console.log(JSON.stringify({
+        what: "calls",
+        rate,
+        done: through.total.done,
+        offered: through.total.offered,
+        processorMs: round(processorMs),
+        residentMb: node.process?.residentMb(),
+        throughNode: pickLatencies(through),
+        direct: pickLatencies(direct),
+        lag: through.lag,
+    }));
+}
+
+function pickLatencies({ total }: LoadResult): unknown {
+    return { p50: total.p50, p99: total.p99 };
+}
+
+function load(address: string, ratePerSecond: number, durationMs: number): Promise<LoadResult> {
+    return runLoad({
+        targets: [address],
+        profile: { kind: RateProfileKind.Constant, ratePerSecond },
+        requests: [{ className: "short", weight: 1, path: `/${nameService(0)}/item`, timeoutMs: 1_000 }],
+        seed: 7,
+        durationMs,
+    });
+}
--- a/bench/src/capacity/fleet.ts
+++ b/bench/src/capacity/fleet.ts
@@ -91,6 +91,8 @@
     readonly size: number;
     readonly zones: number;
     readonly nodeFlags: readonly string[];
+    /** Announces a target for each node that has no target process; on by default. */
+    readonly announceTargets?: boolean;
 }
 
 /** A running fleet. */
@@ -121,7 +123,9 @@
         }
         await this.startNodes(this.nodes);
         // Each target of a deployment announces itself once a second; the interval is spread over the fleet.
-        this.announceTimer = setInterval(() => this.announceAll(), announceMs);
+        if (this.options.announceTargets !== false) {
+            this.announceTimer = setInterval(() => this.announceAll(), announceMs);
+        }
     }
 
     async startNodes(nodes: readonly FleetNode[], spacingMs = startSpacingMs): Promise<void> {
--- a/bench/src/capacity/main.ts
+++ b/bench/src/capacity/main.ts
@@ -3,6 +3,7 @@
  * figures and the command that gave each.
  */
 import { cac } from "cac";
+import { runCalls } from "./calls";
 import { runDecisions } from "./decisions";
 import { runFleet } from "./fleetRun";
 import { endProcessesAtExit } from "./processes";
@@ -26,7 +27,7 @@
                 idleSeconds: Number(options.idle),
                 changes: Number(options.changes),
                 changeSpacingMs: Number(options.spacing),
-                nodeFlags: String(options.nodeFlags).split(" ").filter(flag => flag !== ""),
+                nodeFlags: parseFlags(options.nodeFlags),
                 failures: options.failures,
             });
         }
@@ -40,6 +41,19 @@
     .action(options => {
         parseNumbers(options.sizes).forEach(size => runDecisions(size, Number(options.zones), options.failures));
     });
+program
+    .command("calls", "Measure calls through one node process with one target process")
+    .option("--rates <list>", "Calls a second", { default: "50,200,400" })
+    .option("--seconds <s>", "Length of each rate", { default: 20 })
+    .option("--node-flags <flags>", "Flags of Node for the node process, separated by spaces", { default: "" })
+    .action(async options => {
+        await runCalls({
+            rates: parseNumbers(options.rates),
+            seconds: Number(options.seconds),
+            nodeFlags: parseFlags(options.nodeFlags),
+        });
+        process.exit(0);
+    });
 program.help();
 program.parse(process.argv, { run: false });
 await program.runMatchedCommand();
@@ -47,3 +61,7 @@
 function parseNumbers(list: unknown): readonly number[] {
     return String(list).split(",").map(Number).filter(value => value > 0);
 }
+
+function parseFlags(flags: unknown): readonly string[] {
+    return String(flags).split(" ").filter(flag => flag !== "");
+}
