Keep the addresses of restarted nodes in the capacity bench

A host's process binds the same addresses after a restart; with new ports every address of a lost zone's roster was dead, and the measured join times were those of the reconnect backoff.

--- a/bench/src/capacity/decisionNode.ts
+++ b/bench/src/capacity/decisionNode.ts
@@ -68,7 +68,8 @@
         const random = createSeededRandom(seed);
         const { host, zone, region } = place;
         this.random = random;
-        this.address = `10.1.0.1:${node}`;
+        // The address belongs to the host: a restarted process has the one that rosters and tables list.
+        this.address = `10.1.0.1:${host}`;
         const controlAddress = this.address;
         this.membership = new Membership({
             clock,
--- a/bench/src/capacity/main.ts
+++ b/bench/src/capacity/main.ts
@@ -37,9 +37,10 @@
     .command("decisions", "Measure the control decisions alone, in one process on a manual clock")
     .option("--sizes <list>", "Numbers of nodes", { default: "40,160,670" })
     .option("--zones <n>", "Number of zones", { default: 10 })
-    .option("--no-failures", "Skip the failures")
+    .option("--parts <list>", "Parts of the run", { default: "steady,hosts,regions" })
     .action(options => {
-        parseNumbers(options.sizes).forEach(size => runDecisions(size, Number(options.zones), options.failures));
+        const parts = String(options.parts).split(",");
+        parseNumbers(options.sizes).forEach(size => runDecisions(size, Number(options.zones), parts));
     });
 program
     .command("calls", "Measure calls through one node process with one target process")
