Rank the candidates of a zone once for each change of its members

Ruled out: the lease's own work; ticks of candidates with a call in flight cost a few microseconds. Change: the candidates are kept while the members' nodes stay the same. The cost grew with the zone; the design has 67 nodes.

--- a/coordination/lease/src/lease.ts
+++ b/coordination/lease/src/lease.ts
@@ -75,6 +75,8 @@
     /** Time of sending, by term and renewal, of writes that are not confirmed. */
     private readonly attempts = new Map<string, Milliseconds>();
     private members: readonly LeaseMember[] = [];
+    /** Kept while the members stay the same: ranking hashes each member, and every tick asks. */
+    private candidates: readonly string[] | undefined;
     private summary: ZoneSummary = summarizeZone([]);
     private outputs: LeaseOutput[] = [];
     private open: OpenStoreCall | undefined;
@@ -118,6 +120,7 @@
             case LeaseInputKind.Tick:
                 return this.tick();
             case LeaseInputKind.MembersChanged:
+                this.candidates = haveSameNodes(this.members, input.members) ? this.candidates : undefined;
                 this.members = input.members;
                 this.summary = input.summary;
                 return this.noteMissingHolder();
@@ -162,7 +165,8 @@
     private mayContend(): boolean {
         const { node, zone, clock, random } = this.options;
         if (this.members.some(member => member.node !== node)) {
-            return chooseCandidates(zone, this.members).includes(node);
+            this.candidates ??= chooseCandidates(zone, this.members);
+            return this.candidates.includes(node);
         }
         this.bootstrapUntil ??= clock.now() + random.nextFraction() * bootstrapJitterMs;
         return clock.now() >= this.bootstrapUntil;
@@ -346,3 +350,7 @@
 function attemptKey(record: LeaseRecord): string {
     return `${record.term} ${record.renewal}`;
 }
+
+function haveSameNodes(left: readonly LeaseMember[], right: readonly LeaseMember[]): boolean {
+    return left.length === right.length && left.every(({ node }, index) => node === right[index]?.node);
+}
