--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -15,6 +15,7 @@
     demo: "bench/src/demo.ts",
     bench: "bench/src/main.ts",
     "bench-worker": "bench/src/worker.ts",
+    capacity: "bench/src/capacity/main.ts",
 };
 
 const requireShim = "import { createRequire as createRequireForBundle } from \"node:module\";"
