Ramp new targets relative to the warmest one of their service

Cause: the ramp of new targets capped their concurrency at a tenth even where every target of a service was equally new, as after the return of a zone; a test with 6 calls at one new target of 8 slots got 1 at a time and the rest shed. Change: the room of a target is ramped relative to the highest ramp of the service's targets. Ruled out: no ramp at all, which would send a cold target a full share beside warm ones.

--- a/coordination/routing/src/router.ts
+++ b/coordination/routing/src/router.ts
@@ -36,6 +36,8 @@
 /** Targets of one service in ring order. */
 interface ServiceTargets {
     records: TargetRecord[];
+    /** Highest ramp among targets that can be chosen, as of the last choice. */
+    highestRamp: number;
 }
 
 /** Targets that can take the attempt, by preference. */
@@ -167,7 +169,7 @@
         this.services.clear();
         const ordered = [...this.records.values()].sort(compareByZoneAndId);
         for (const record of ordered) {
-            const service = this.services.get(record.target.service) ?? { records: [] };
+            const service = this.services.get(record.target.service) ?? { records: [], highestRamp: 1 };
             service.records.push(record);
             this.services.set(record.target.service, service);
         }
@@ -267,7 +269,7 @@
             target: record.target,
             others: record.load.othersAt(now),
             reportedOthers: record.load.reportedOthersAt(now),
-            ramp: record.ramp(now),
+            ramp: this.relativeRamp(record, now),
             longShare: record.longShare,
         });
         return hasRoom ? undefined : NoTargetReason.Busy;
@@ -280,10 +282,12 @@
     private isSuspicionDistrusted(service: ServiceTargets, now: Milliseconds): boolean {
         let available = 0;
         let suspected = 0;
+        service.highestRamp = 0;
         for (const record of service.records) {
             record.checkStall(now);
             if (!record.isLeaving(now) && !record.isRefusing(RunTimeClass.Short, now)) {
                 available++;
+                service.highestRamp = Math.max(service.highestRamp, record.ramp(now));
                 suspected += record.suspected ? 1 : 0;
             }
         }
@@ -332,6 +336,15 @@
         return (runTimeMs + waitMs) / record.ramp(now) + this.distanceTo(record);
     }
 
+    /**
+     * Ramp relative to the most advanced target of the service. A ramp moves load to targets that are warm already;
+     * where all targets are equally new, for example after a zone returned, it would only shed calls.
+     */
+    private relativeRamp(record: TargetRecord, now: Milliseconds): number {
+        const highest = this.services.get(record.target.service)?.highestRamp ?? 1;
+        return Math.min(1, record.ramp(now) / Math.max(highest, Number.MIN_VALUE));
+    }
+
     private typicalLatency(unknown: TargetRecord, runTimeClass: RunTimeClass): Milliseconds {
         let sum = 0;
         let known = 0;
--- a/coordination/routing/test/router.test.ts
+++ b/coordination/routing/test/router.test.ts
@@ -221,6 +221,26 @@
             expect(viewOf("3").ramp).toBeCloseTo(0.2);
         });
 
+        it.each([
+            { name: "beside a warm one", others: 60_000, expected: 0.2 },
+            { name: "where all are equally new, so that a returning zone does not shed", others: 1_000, expected: 1 },
+        ])("offers a new target $name a share of $expected of its limit", ({ others, expected }) => {
+            const ramps = new Map<string, number>();
+            router.setTargets([target("1", { stateAgeMs: others }), target("2", { stateAgeMs: others })]);
+            router.setTargets([
+                target("1", { stateAgeMs: others }),
+                target("2", { stateAgeMs: others }),
+                target("3", { stateAgeMs: 1_000 }),
+            ]);
+            choose({
+                hasRoom: load => {
+                    ramps.set(load.target.id, load.ramp);
+                    return true;
+                },
+            });
+            expect(ramps.get("3")).toBeCloseTo(expected);
+        });
+
         it("counts the ramp after a cold start from the target's own change of state", () => {
             router.setTargets([target("1", { state: TargetState.Warming, stateAgeMs: 4_000 })]);
             expect(viewOf("1").ramp).toBeCloseTo(0.1);
