End a node whose listener cannot be bound

Cause: the process reported the taken port and stayed, because timers of the node were running already. Change: the entry point ends the process after it reported the failure. Before: the test of a taken port in processes.test.ts times out. After: the exit code is 2.

--- a/daemons/node/src/main.ts
+++ b/daemons/node/src/main.ts
@@ -76,4 +76,6 @@
 }
 catch (error) {
     fail((error as Error).message, ExitCode.Usage);
+    // Timers of a node whose listener could not be bound would hold the process.
+    process.exit();
 }
