--- /dev/null
+++ b/daemons/node/test/processSupport.ts
@@ -0,0 +1,106 @@
+/**
+ * Starts the built binaries as separate processes on loopback and ends each of them by its id.
+ */
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { existsSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join, resolve } from "node:path";
+import { stringify } from "yaml";
+import { until } from "./support";
+
+const dist = resolve(import.meta.dirname, "../../../dist");
+const binaries = ["bilberrycroft", "bilberrycroft-node", "bilberrycroft-store", "bilberrycroft-target"] as const;
+
+/** Name of a built binary. */
+export type Binary = typeof binaries[number];
+
+/** A process that was started. */
+export interface Started {
+    readonly process: ChildProcess;
+    /** Standard output and error so far. */
+    output(): string;
+    /** Value of a field of the log line that says that the process is ready. */
+    field(name: string): Promise<string>;
+    /** Sends a signal and waits for the end. */
+    end(signal: NodeJS.Signals): Promise<number | undefined>;
+    /** Exit code; `undefined` if a signal ended the process. */
+    exit(): Promise<number | undefined>;
+}
+
+/** A client that ended. */
+export interface Ran {
+    readonly code: number | undefined;
+    readonly output: string;
+}
+
+/** Processes and files of one test run. */
+export class Processes {
+    readonly folder = mkdtempSync(join(tmpdir(), "bilberrycroft-"));
+    private readonly started: Started[] = [];
+
+    constructor() {
+        const missing = binaries.filter(name => !existsSync(join(dist, `${name}.mjs`)));
+        if (missing.length > 0) {
+            throw new Error(`dist/ lacks ${missing.join(", ")}: run "npm run build" first`);
+        }
+    }
+
+    /** Writes a settings or rules file and returns its path. */
+    write(name: string, content: string | object): string {
+        const file = join(this.folder, name);
+        writeFileSync(file, typeof content === "string" ? content : stringify(content));
+        return file;
+    }
+
+    start(binary: Binary, ...parameters: readonly string[]): Started {
+        const child = spawn(process.execPath, [join(dist, `${binary}.mjs`), ...parameters], {
+            cwd: this.folder,
+            stdio: ["ignore", "pipe", "pipe"],
+        });
+        let output = "";
+        const collect = (chunk: Buffer): void => {
+            output += chunk.toString();
+        };
+        child.stdout.on("data", collect);
+        child.stderr.on("data", collect);
+        const ended = once(child, "close").then(([code]) => (code as number | null) ?? undefined);
+        let isEnded = false;
+        void ended.then(() => {
+            isEnded = true;
+        });
+        const started: Started = {
+            process: child,
+            output: () => output,
+            field: async name => {
+                const pattern = new RegExp(`"${name}":"([^"]+)"`);
+                await until(() => isEnded || pattern.test(output));
+                const value = pattern.exec(output)?.[1];
+                if (value === undefined) {
+                    throw new Error(`${binary} ended before it was ready:\n${output}`);
+                }
+                return value;
+            },
+            end: signal => {
+                child.kill(signal);
+                return ended;
+            },
+            exit: () => ended,
+        };
+        this.started.push(started);
+        return started;
+    }
+
+    /** Runs the operators' client to its end. */
+    async operate(...parameters: readonly string[]): Promise<Ran> {
+        const client = this.start("bilberrycroft", ...parameters);
+        const code = await client.exit();
+        return { code, output: client.output() };
+    }
+
+    /** Ends all processes that still run. */
+    async endAll(): Promise<void> {
+        await Promise.all(this.started.map(started => started.end("SIGKILL")));
+        rmSync(this.folder, { recursive: true, force: true });
+    }
+}
