--- a/bench/src/capacity/calls.ts
+++ b/bench/src/capacity/calls.ts
@@ -8,7 +8,8 @@
 import { type LoadResult, RateProfileKind, runLoad } from "../load";
 import { Fleet, type FleetNode } from "./fleet";
 import { ObservedProcess } from "./processes";
-import { nameService } from "./rulesFile";
+import { compareCounts } from "./measureFleet";
+import { nameService, oncePath } from "./rulesFile";
 import { round } from "./statistics";
 
 const targetBinary = "dist/bilberrycroft-target.mjs";
@@ -18,6 +19,8 @@
 /** Options of `runCalls`. */
 export interface CallRunOptions {
     readonly rates: readonly number[];
+    /** Rates of calls that may not be repeated. */
+    readonly onceRates: readonly number[];
     readonly seconds: number;
     readonly nodeFlags: readonly string[];
 }
@@ -39,6 +42,9 @@
         for (const rate of options.rates) {
             await measureRate(node, targetAddress, rate, options.seconds * 1_000);
         }
+        for (const rate of options.onceRates) {
+            await measureOnce(fleet, rate, options.seconds * 1_000);
+        }
     }
     finally {
         await target?.kill();
@@ -101,6 +107,37 @@
     }));
 }
 
+/** Calls to the store that claims cause; those of the lease, about one a second, are included. */
+async function measureOnce(fleet: Fleet, ratePerSecond: number, durationMs: number): Promise<void> {
+    const before = fleet.store.counts();
+    const result = await runLoad({
+        targets: [fleet.nodes[0]?.calls ?? ""],
+        profile: { kind: RateProfileKind.Constant, ratePerSecond },
+        requests: [{
+            className: "once",
+            weight: 1,
+            path: oncePath,
+            method: "POST",
+            body: "{}",
+            timeoutMs: 2_000,
+            idempotencyKey: true,
+        }],
+        seed: 11,
+        durationMs,
+        checkRequestIds: false,
+    });
+    const after = fleet.store.counts();
+    console.log(JSON.stringify({
+        what: "calls that may not be repeated",
+        rate: ratePerSecond,
+        offered: result.total.offered,
+        done: result.total.done,
+        notRun: result.total.notRun,
+        storeCallsPerSecond: compareCounts(before, after, durationMs / 1_000),
+        writesPerCall: round((after.calls.write - before.calls.write) / Math.max(1, result.total.done)),
+    }));
+}
+
 function pickLatencies({ total }: LoadResult): unknown {
     return { p50: total.p50, p99: total.p99 };
 }
--- a/bench/src/capacity/decisions.ts
+++ b/bench/src/capacity/decisions.ts
@@ -145,13 +145,13 @@
 function measure(fleet: DecisionFleet, work: () => unknown): unknown {
     const startedAt = fleet.schedule.clock.now();
     const realStart = performance.now();
-    const before = new Map([...fleet.nodes].map(([address, { traffic }]) => [address, { ...traffic }]));
+    const before = new Map(fleet.running().map(({ node, traffic }) => [node, { ...traffic }]));
     const store = { ...fleet.store.calls };
     const result = work();
     const seconds = (fleet.schedule.clock.now() - startedAt) / 1_000;
     const nodes = fleet.running();
     const rate = (read: (traffic: { bytes: number; callEnds: number }) => number) => summarize(nodes.map(node => {
-        const earlier = before.get(node.address);
+        const earlier = before.get(node.node);
         return (read(node.traffic) - (earlier === undefined ? 0 : read(earlier))) / seconds;
     }));
     const callEnds = rate(traffic => traffic.callEnds);
--- a/bench/src/capacity/main.ts
+++ b/bench/src/capacity/main.ts
@@ -45,11 +45,13 @@
 program
     .command("calls", "Measure calls through one node process with one target process")
     .option("--rates <list>", "Calls a second", { default: "50,200,400" })
+    .option("--once <list>", "Rates of calls that may not be repeated", { default: "5,20,80" })
     .option("--seconds <s>", "Length of each rate", { default: 20 })
     .option("--node-flags <flags>", "Flags of Node for the node process, separated by spaces", { default: "" })
     .action(async options => {
         await runCalls({
             rates: parseNumbers(options.rates),
+            onceRates: parseNumbers(options.once),
             seconds: Number(options.seconds),
             nodeFlags: parseFlags(options.nodeFlags),
         });
--- a/bench/src/capacity/rulesFile.ts
+++ b/bench/src/capacity/rulesFile.ts
@@ -5,6 +5,9 @@
 const routeCount = 120;
 const tenantCount = 6;
 
+/** Path of a call that may not be repeated. */
+export const oncePath = "/service-0/once";
+
 /** Text of the file after a number of changes; each change alters the timeout of one route. */
 export function createRulesText(changes: number): string {
     const tenants = Array.from({ length: tenantCount }, (_, index) =>
@@ -12,7 +15,9 @@
     const services = Array.from({ length: serviceCount }, (_, index) =>
         `service ${nameService(index)} slots=6 connections=100  # Haruto Kubo: endpoints of service ${index}`);
     const routes = Array.from({ length: routeCount }, (_, index) => createRoute(index, changes));
-    return `${[...tenants, ...services, ...routes].join("\n")}\n`;
+    const once = `route route-once path=${oncePath} to=${nameService(0)} class=short timeout=2s repeat=no`
+        + "  # Fatou Ndoye: runs at most once";
+    return `${[...tenants, ...services, ...routes, once].join("\n")}\n`;
 }
 
 /** Name of a service of the file. */
