--- a/daemons/node/test/processes.test.ts
+++ b/daemons/node/test/processes.test.ts
@@ -121,11 +121,17 @@
             lonely = await startNode("h9", [], unreachable).field("control");
         });
 
-        const rows: readonly { readonly name: string; readonly code: number; readonly run: () => readonly string[] }[] = [
+        interface Row {
+            readonly name: string;
+            readonly code: number;
+            readonly run: () => readonly string[];
+        }
+
+        const rows: readonly Row[] = [
             { name: "0 done", code: 0, run: () => ["apply", processes.write("b.rules", rules), ...client] },
             { name: "1 failed check", code: 1, run: () => ["check", processes.write("bad.rules", "route")] },
             { name: "1 refused", code: 1, run: () => ["apply", processes.write("bad.rules", "route"), ...client] },
-            { name: "2 usage", code: 2, run: () => ["pray"] },
+            { name: "2 usage", code: 2, run: () => ["no-such-command"] },
             { name: "2 settings", code: 2, run: () =>
                 ["status", "--settings", processes.write("op.yaml", "stoer: x\n")] },
             { name: "3 conflict", code: 3, run: () =>
