--- /dev/null
+++ b/daemons/node/test/faultMatrix/faultMatrix.test.ts
@@ -0,0 +1,29 @@
+import { existsSync, readFileSync } from "node:fs";
+import { resolve } from "node:path";
+import { describe, expect, it } from "vitest";
+import { CellKind } from "./cells";
+import { listCells, renderPage } from "./page";
+import { proofs } from "./proofs";
+
+const root = resolve(import.meta.dirname, "../../../..");
+
+describe("fault matrix", () => {
+    const proved = listCells().flatMap(({ cell }) => (cell.kind === CellKind.Proved ? [cell.proof] : []));
+
+    it.each([...new Set(proved)])("names a test that exists: $test", ({ file, test }) => {
+        const path = resolve(root, file);
+        expect(existsSync(path), file).toBe(true);
+        const names = readFileSync(path, "utf8");
+        expect(names.includes(test), `${file} has no test "${test}"`).toBe(true);
+        expect(names).not.toMatch(/\b(?:it|describe)\.(?:skip|todo|only)\b/);
+    });
+
+    it("lists no proof that no cell uses", () => {
+        const unused = Object.entries(proofs).filter(([, proof]) => !proved.includes(proof)).map(([name]) => name);
+        expect(unused).toEqual([]);
+    });
+
+    it("agrees with docs/fault-matrix.md", async () => {
+        await expect(renderPage()).toMatchFileSnapshot(resolve(root, "docs/fault-matrix.md"));
+    });
+});
--- /dev/null
+++ b/daemons/node/test/faultMatrix/page.ts
@@ -0,0 +1,69 @@
+/**
+ * Renders docs/fault-matrix.md from the table.
+ */
+import { CellKind, Fault, type Invariant, invariantsOfStep, Step, toCell } from "./cells";
+import { faultMatrix } from "./table";
+
+const introduction = `# Fault matrix
+
+Each fault of section 2.4 of the design page at each step of the work. This page is written from
+\`daemons/node/test/faultMatrix/table.ts\`; a test fails when it differs. To write it again:
+\`npx vitest run daemons/node/test/faultMatrix -u\`.
+
+*Proved* names a test that \`npm test\` runs with this fault at or around this step, and the invariants that it checks.
+Most of them drive the decision with fakes, a manual clock and fixed seeds; those under \`daemons/node\` use sockets or
+processes on one machine. *Not proved* means that no run joins the fault and the step.
+`;
+
+/** All cells in order. */
+export function listCells() {
+    return Object.values(Fault).flatMap(fault => Object.values(Step).map(step => ({
+        fault,
+        step,
+        cell: toCell(faultMatrix[fault][step]),
+    })));
+}
+
+function renderFault(fault: Fault): string {
+    const rows = listCells().filter(entry => entry.fault === fault).map(({ step, cell }) => {
+        switch (cell.kind) {
+            case CellKind.Proved: {
+                const { invariants, file, test } = cell.proof;
+                return `| ${step} | proved | ${invariants.join(", ")} | \`${file}\`: ${test} |`;
+            }
+            case CellKind.CannotOccur:
+                return `| ${step} | cannot occur | | ${cell.reason} |`;
+            case CellKind.NotProved:
+                return `| ${step} | **not proved** | ${invariantsOfStep[step].join(", ")} | |`;
+        }
+    });
+    return [`## ${fault}`, "", "| step | state | invariants | test or reason |", "| --- | --- | --- | --- |", ...rows]
+        .join("\n");
+}
+
+const invariants: readonly Invariant[] = ["I1", "I2", "I3", "I4", "I5", "I6", "I7", "I8", "I9"];
+
+/** An invariant is proved if no cell whose step bears on it lacks a run that checks it. */
+function renderInvariant(invariant: Invariant): string {
+    const cells = listCells();
+    const proved = cells.filter(({ cell }) =>
+        cell.kind === CellKind.Proved && cell.proof.invariants.includes(invariant));
+    const open = cells.filter(({ cell, step }) => invariantsOfStep[step].includes(invariant)
+        && (cell.kind === CellKind.NotProved
+            || (cell.kind === CellKind.Proved && !cell.proof.invariants.includes(invariant))));
+    const state = proved.length === 0 ? "not proved" : open.length === 0 ? "proved" : "partly proved";
+    const missing = open.map(({ fault, step }) => `${fault} at ${step}`).join("; ");
+    const runs = `${proved.length} cells with a run`;
+    return `- ${invariant}: ${state}; ${runs}${missing === "" ? "" : `; without one: ${missing}`}`;
+}
+
+/** The whole page. */
+export function renderPage(): string {
+    return [
+        introduction,
+        ...Object.values(Fault).map(fault => `${renderFault(fault)}\n`),
+        "## Points of section 2.2\n",
+        ...invariants.map(renderInvariant),
+        "",
+    ].join("\n");
+}
--- /dev/null
+++ b/daemons/node/test/faultMatrix/proofs.ts
@@ -0,0 +1,88 @@
+/**
+ * Tests that the fault matrix names.
+ */
+import type { Invariant, Proof } from "./cells";
+
+function proof(file: string, test: string, ...invariants: readonly Invariant[]): Proof {
+    return { file, test, invariants };
+}
+
+const dissemination = "coordination/dissemination/test/dissemination.test.ts";
+const lease = "coordination/lease/test/lease.test.ts";
+const keeper = "coordination/idempotency/test/keeper.test.ts";
+const draining = "coordination/draining/test/draining.test.ts";
+const fleet = "coordination/membership/test/fleet.test.ts";
+const membership = "coordination/membership/test/membership.test.ts";
+const quarantine = "coordination/quarantine/test/quarantine.test.ts";
+const retries = "coordination/retries/test/retries.test.ts";
+const router = "coordination/routing/test/router.test.ts";
+const applying = "cli/operator/test/applying.test.ts";
+const status = "cli/operator/test/status.test.ts";
+const outcomes = "daemons/node/test/outcomes.test.ts";
+const answers = "daemons/node/test/answers.test.ts";
+const claims = "daemons/node/test/claims.test.ts";
+const processes = "daemons/node/test/processes.test.ts";
+
+/** Restarts, store outages, late, repeated, lost and damaged messages in any order, four seeds. */
+export const anyOrder = proof(
+    "coordination/dissemination/test/property.test.ts",
+    "never steps back, activates only whole verified versions and converges",
+    "I1",
+    "I2",
+    "I3",
+    "I9",
+);
+/** Kills, pauses, lost, late and refused writes in any order. */
+export const claimsAnyOrder = proof(
+    "coordination/idempotency/test/property.test.ts",
+    "sends no key twice unless the earlier send was proved not run",
+    "I5",
+    "I6",
+);
+
+export const proofs = {
+    waitsForStore: proof(dissemination, "waits for the store while it was not found unavailable, even with peers", "I1"),
+    startsFromPeers: proof(dissemination, "with the store down waits for two peers that have a version in force", "I1"),
+    stalePeers: proof(dissemination, "with only stale peers keeps refusing", "I1"),
+    cutZoneStart: proof(dissemination, "in a partitioned zone waits for the highest version", "I1"),
+    neverLower: proof(dissemination, "never repeats or lowers the version in force", "I1"),
+    badRules: proof(dissemination, "refuses bad rules as a whole", "I2", "I3"),
+    fetchNext: proof(dissemination, "asks one peer at a time and the next one after a failure", "I9"),
+    fetchLost: proof(dissemination, "goes on after a fetch whose end was never reported", "I9"),
+    pushOtherZone: proof(dissemination, "goes to 3 peers of the zone and 1 of another that lack the version", "I9"),
+    leaseTakeover: proof(lease, "lets another node take over 9 to 12 s after the last renewal", "I9"),
+    leaseResumed: proof(lease, "makes a resumed holder give way to its successor", "I9"),
+    leaseLost: proof(lease, "recognizes a takeover whose response was lost", "I9"),
+    leaseLate: proof(lease, "counts from the time a renewal was sent, not from its late response", "I9"),
+    leaseStop: proof(lease, "is released at once while the store is down", "I8"),
+    herd: proof(fleet, "bounds a returning herd to 4 joins per member and second", "I9"),
+    deadNoticed: proof(fleet, "notices a dead node within 5 s everywhere in its zone", "I9"),
+    announcementGone: proof(membership, "become Gone after three missed announcements and not before", "I7"),
+    drainSilent: proof(draining, "so that a silent partner cannot block a stop", "I8"),
+    drainCalls: proof(draining, "exits only after the last call and the listener's end", "I8"),
+    drainHeader: proof(router, "avoids the target at once, before membership has spread the announcement", "I7"),
+    lateStoreDeadline: proof(keeper, "does not send the call and releases the claim", "I5", "I6"),
+    leaderReply: proof(keeper, "decides by the reply of the owner", "I6"),
+    quarantineSecond: proof(quarantine, "starts with the second target that a call crashes", "I5"),
+    quarantineRack: proof(quarantine, "counts targets that die together once", "I5"),
+    repeatsOnlySafe: proof(retries, "repeats a call only if that cannot run it twice", "I6"),
+    appliesOnce: proof(applying, "applies exactly once after $name", "I9"),
+    operatorsAnyFault: proof(applying, "reports what happened under any faults of two operators' calls", "I9"),
+    operatorLoser: proof(applying, "shows the loser which rules changed", "I9"),
+    statusUnknown: proof(status, "names refusing lines, unknown zones, dead nodes and silent addresses", "I9"),
+    statusNoStore: proof(status, "says where the accepted version comes from when the store was not read", "I9"),
+    refusedConnection: proof(outcomes, "refused connections of a target that ended", "I5"),
+    storeDownCall: proof(outcomes, "a store that is down", "I5", "I6"),
+    timedOut: proof(outcomes, "time out of a call with a key", "I4", "I5"),
+    crashHeld: proof(outcomes, "holds a request that crashed two targets while other calls go on", "I5"),
+    truncated: proof(answers, "a damaged answer never looks whole, and the node goes on", "I4"),
+    lateAnswer: proof(answers, "an answer after the deadline is dropped with its connection", "I4"),
+    swappedAnswer: proof(answers, "answers in reverse order go to the calls that they belong to", "I4"),
+    ownerKilled: proof(claims, "a resend after its owner was killed", "I6"),
+    claimLost: proof(claims, "%s of the claim: the call runs once", "I5", "I6"),
+    storeDownAfterClaim: proof(claims, "down after the claim: the outcome is known to the owner", "I6"),
+    claimSockets: proof(claims, "runs each key at most once while callers resend through both nodes", "I5", "I6"),
+    killedNode: proof(processes, "SIGKILL of a node: the others serve", "I9"),
+    storeReturns: proof(processes, "the store ends and returns", "I1", "I5"),
+    drainedNode: proof(processes, "SIGTERM of a node with a call in flight", "I8"),
+} satisfies Readonly<Record<string, Proof>>;
--- a/daemons/node/test/processes.test.ts
+++ b/daemons/node/test/processes.test.ts
@@ -121,7 +121,13 @@
             lonely = await startNode("h9", [], unreachable).field("control");
         });
 
-        const rows: readonly { readonly name: string; readonly code: number; readonly run: () => readonly string[] }[] = [
+        interface ExitRow {
+            readonly name: string;
+            readonly code: number;
+            run(): readonly string[];
+        }
+
+        const rows: readonly ExitRow[] = [
             { name: "0 done", code: 0, run: () => ["apply", processes.write("b.rules", rules), ...client] },
             { name: "1 failed check", code: 1, run: () => ["check", processes.write("bad.rules", "route")] },
             { name: "1 refused", code: 1, run: () => ["apply", processes.write("bad.rules", "route"), ...client] },
