Hold a crashing request after two targets, also within one call

The retries of one call crashed three targets, and so did a resend that came at once. Change: a call waits until the connections that the same request broke are judged, and is not sent to a third target once the request is held. Conclusion: one request takes two targets through one node. Through several nodes it may take more until their reports have spread.

--- a/daemons/node/src/calls/callExecution.ts
+++ b/daemons/node/src/calls/callExecution.ts
@@ -51,6 +51,8 @@
     distanceMeasured(zone: string, roundTripMs: Milliseconds): void;
     /** Takes a connection that broke with the call in flight. */
     connectionBroke(broken: BrokenConnection): void;
+    /** Whether a request that broke several connections may go to one more target. */
+    mayRepeat(fingerprint: string): Promise<boolean>;
     /** Counts an additional attempt. */
     countAttempt(kind: AdditionalAttempt): void;
 }
@@ -99,12 +101,16 @@
     abandonedAs: AttemptResultKind.Cancelled | AttemptResultKind.TimedOut | undefined;
 }
 
+// Two distinct targets make the quarantine hold a request.
+const crashesBeforeHold = 2;
+
 /** One call in progress. */
 export class CallExecution {
     private readonly attempts = new Map<string, AttemptInFlight>();
     private readonly answers = new Map<string, Answer>();
     private readonly timers = new Set<NodeJS.Timeout>();
     private hasStarted = false;
+    private brokenAttempts = 0;
     private streaming = false;
     private finish: (result: CallResult) => void = () => undefined;
     private isFinished = false;
@@ -256,6 +262,7 @@
             services.distanceMeasured(target.zone, connectMs);
         }
         if (result.kind === AttemptResultKind.Broken && !this.streaming) {
+            this.brokenAttempts++;
             services.connectionBroke({
                 target: target.id,
                 address: target.address,
@@ -286,7 +293,7 @@
             case AttemptDecisionKind.Respond:
                 return this.respond(decision);
             case AttemptDecisionKind.RetryAt:
-                return this.schedule(decision.at, () => this.sendAgain(AdditionalAttempt.Retry, decision.exclude));
+                return this.schedule(decision.at, () => void this.retry(decision.exclude));
             case AttemptDecisionKind.Wait:
             case AttemptDecisionKind.Ignored:
                 return;
@@ -295,6 +302,18 @@
         }
     }
 
+    /** A request that crashes its targets would otherwise take one more before it is held. */
+    private async retry(exclude: readonly string[]): Promise<void> {
+        const isHeld = this.brokenAttempts >= crashesBeforeHold
+            && !await this.services.mayRepeat(this.call.fingerprint);
+        if (!isHeld) {
+            return this.sendAgain(AdditionalAttempt.Retry, exclude);
+        }
+        if (!this.isFinished) {
+            this.follow(this.services.retries.attemptNotStarted(this.call.submitted.callId));
+        }
+    }
+
     private hedge(): void {
         const decision = this.services.retries.hedgeDue(this.call.submitted.callId);
         if (decision.kind === HedgeDecisionKind.Hedge) {
--- a/daemons/node/src/calls/callTask.ts
+++ b/daemons/node/src/calls/callTask.ts
@@ -56,6 +56,8 @@
     readonly address: string;
     readonly brokeAt: Milliseconds;
     readonly calls: CallAtCrash[];
+    /** Settles when it is known whether the target died. */
+    judged: Promise<void>;
 }
 
 /** Carries the calls of a node. */
@@ -82,6 +84,7 @@
             dispatch: events => this.dispatch(events),
             distanceMeasured: (zone, roundTripMs) => options.router.distanceMeasured({ zone, roundTripMs }),
             connectionBroke: broken => this.connectionBroke(broken),
+            mayRepeat: fingerprint => this.mayRepeat(fingerprint),
             countAttempt: kind => options.histograms.count(attemptCounters[kind]),
         };
         this.ticking = [
@@ -182,6 +185,7 @@
     }
 
     private async run(call: AcceptedCall, response: ServerResponse): Promise<CallResult> {
+        await this.crashesJudged(call.fingerprint);
         const held = this.options.quarantine.check(call.fingerprint);
         if (held.kind === QuarantineDecisionKind.Held) {
             this.options.histograms.count(CallCounter.Quarantines);
@@ -267,9 +271,25 @@
             return;
         }
         const brokeAt = this.options.clock.wallTime();
-        const broken: BrokenConnections = { address, brokeAt, calls: [{ fingerprint, ageMs }] };
+        const calls = [{ fingerprint, ageMs }];
+        const broken: BrokenConnections = { address, brokeAt, calls, judged: Promise.resolve() };
         this.broken.set(target, broken);
-        setTimeout(() => void this.judgeBroken(target, broken), crashProbeDelayMs);
+        broken.judged = new Promise(resolve => setTimeout(resolve, crashProbeDelayMs))
+            .then(() => this.judgeBroken(target, broken));
+    }
+
+    /** Waits until it is known which targets died with this request in flight, so that it is held in time. */
+    private async crashesJudged(fingerprint: string): Promise<void> {
+        for (const { calls, judged } of [...this.broken.values()]) {
+            if (calls.some(call => call.fingerprint === fingerprint)) {
+                await judged;
+            }
+        }
+    }
+
+    private async mayRepeat(fingerprint: string): Promise<boolean> {
+        await this.crashesJudged(fingerprint);
+        return this.options.quarantine.check(fingerprint).kind !== QuarantineDecisionKind.Held;
     }
 
     private async judgeBroken(target: string, broken: BrokenConnections): Promise<void> {
--- a/daemons/node/test/outcomes.test.ts
+++ b/daemons/node/test/outcomes.test.ts
@@ -188,4 +188,28 @@
             expect(target.seen).toHaveLength(before);
         });
     });
+
+    it("holds a request that crashed two targets while other calls go on", async () => {
+        const ids = ["t2", "t3", "t4"];
+        const targets = [target, ...await Promise.all(ids.map(id => startFakeTarget(cleanup, node, { id })))];
+        const crashed = new Set<FakeTarget>();
+        for (const each of targets) {
+            each.behaviour = (response, call) => {
+                if (call.body !== "poison") {
+                    response.end("done");
+                    return;
+                }
+                crashed.add(each);
+                each.crash();
+            };
+        }
+        let held: string | undefined;
+        await until(async () => {
+            held = (await send(node.callAddress, "/read", { method: "POST", body: "poison" })).reason;
+            return held === "quarantined" || crashed.size === targets.length;
+        });
+        expect(held).toBe("quarantined");
+        expect(crashed.size).toBe(2);
+        expect((await send(node.callAddress, "/read", { method: "POST", body: "harmless" })).outcome).toBe("done");
+    });
 });
