Make the leaving target the preferred one, so that the test sees a missing guard

Without the draining header's guard the test passed, because the other target was chosen anyway. With a slow second target it fails then.

--- a/daemons/node/test/outcomes.test.ts
+++ b/daemons/node/test/outcomes.test.ts
@@ -170,7 +170,9 @@
             },
         ];
         it.each(leaving)("$name", async ({ leave }) => {
-            await startFakeTarget(cleanup, node, { id: "t2" });
+            // The other target is slow, so that the leaving one would be preferred.
+            const slow: Behaviour = response => setTimeout(() => response.end(), 20);
+            await startFakeTarget(cleanup, node, { id: "t2", behaviour: slow });
             await until(async () => {
                 await send(node.callAddress, "/read");
                 return target.seen.length > 0;
