End the node's process when a listener can not be bound

The call listener and the timers kept the process running without a control listener, so no supervisor would restart it.

--- a/daemons/node/src/main.ts
+++ b/daemons/node/src/main.ts
@@ -76,4 +76,6 @@
 }
 catch (error) {
     fail((error as Error).message, ExitCode.Usage);
+    // A node whose control listener could not be bound has a call listener and timers that keep the process running.
+    process.exit();
 }
