--- a/daemons/node/src/main.ts
+++ b/daemons/node/src/main.ts
@@ -76,6 +76,6 @@
 }
 catch (error) {
     fail((error as Error).message, ExitCode.Usage);
-    // Timers of a node whose listener could not be bound would hold the process.
+    // A node whose control listener could not be bound has a call listener and timers that keep the process running.
     process.exit();
 }
