--- a/daemons/node/src/calls/callExecution.ts
+++ b/daemons/node/src/calls/callExecution.ts
@@ -47,6 +47,8 @@
     readonly targets: TargetClient;
     /** Takes what the dispatcher decided for other calls. */
     dispatch(events: readonly DispatchEvent[]): void;
+    /** Takes that a call waits in the dispatcher. */
+    callQueued(): void;
     /** Takes the time that a new connection to a zone took. */
     distanceMeasured(zone: string, roundTripMs: Milliseconds): void;
     /** Takes a connection that broke with the call in flight. */
@@ -128,7 +130,10 @@
             const { submitted } = this.call;
             this.schedule(submitted.deadlineAt, () => this.passDeadline());
             const submission = this.services.dispatcher.submit(submitted);
-            if (submission.kind !== DispatchKind.Queued) {
+            if (submission.kind === DispatchKind.Queued) {
+                this.services.callQueued();
+            }
+            else {
                 this.dispatched(submission);
             }
         });
--- a/daemons/node/src/calls/callTask.ts
+++ b/daemons/node/src/calls/callTask.ts
@@ -29,7 +29,8 @@
 import type { Claims } from "./claims";
 import { bodyTooLargeStatus, sendOwnResponse } from "./responses";
 
-// Queued calls are started by the completions of others; the tick only expires them and repairs a missed start.
+// Queued calls are started by the completions of others; the tick only expires them and repairs a missed start. It runs
+// while calls wait: steady ticks of this task and of the claims took half of an idle node's processor time.
 const tickMs: Milliseconds = 20;
 const reportIntervalMs: Milliseconds = 500;
 const crashProbeDelayMs: Milliseconds = 20;
@@ -73,7 +74,8 @@
     private readonly executions = new Map<string, CallExecution>();
     private readonly broken = new Map<string, BrokenConnections>();
     private readonly services: CallServices;
-    private readonly ticking: Subscription[];
+    private readonly reporting: Subscription;
+    private tickTimer: NodeJS.Timeout | undefined;
 
     constructor(private readonly options: CallTaskOptions) {
         this.services = {
@@ -82,15 +84,13 @@
             retries: options.retries,
             targets: options.targets,
             dispatch: events => this.dispatch(events),
+            callQueued: () => this.scheduleTick(),
             distanceMeasured: (zone, roundTripMs) => options.router.distanceMeasured({ zone, roundTripMs }),
             connectionBroke: broken => this.connectionBroke(broken),
             mayRepeat: fingerprint => this.mayRepeat(fingerprint),
             countAttempt: kind => options.histograms.count(attemptCounters[kind]),
         };
-        this.ticking = [
-            interval(tickMs).subscribe(() => this.dispatch(options.dispatcher.tick())),
-            interval(reportIntervalMs).subscribe(() => this.shareReports()),
-        ];
+        this.reporting = interval(reportIntervalMs).subscribe(() => this.shareReports());
     }
 
     /** Carries new calls under another rule set; calls in progress keep theirs. */
@@ -111,7 +111,8 @@
 
     /** Ends the task's timers and idle connections. */
     stop(): void {
-        this.ticking.forEach(subscription => subscription.unsubscribe());
+        this.reporting.unsubscribe();
+        clearTimeout(this.tickTimer);
         this.options.targets.close();
     }
 
@@ -258,6 +259,17 @@
         }
     }
 
+    private scheduleTick(): void {
+        if (this.tickTimer !== undefined || this.options.dispatcher.queuedCalls === 0) {
+            return;
+        }
+        this.tickTimer = setTimeout(() => {
+            this.tickTimer = undefined;
+            this.dispatch(this.options.dispatcher.tick());
+            this.scheduleTick();
+        }, tickMs);
+    }
+
     private changeInFlight(change: number): void {
         this.calls += change;
         this.inFlight.next(this.calls);
--- a/daemons/node/src/calls/claims.ts
+++ b/daemons/node/src/calls/claims.ts
@@ -17,20 +17,20 @@
     type ResponseHeader,
     type TargetResponse,
 } from "@bilberrycroft/coordination.idempotency";
-import type { Milliseconds } from "@bilberrycroft/core.clock";
+import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import { assertNever } from "@bilberrycroft/core.errors";
 import { CallHeader, CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
 import type { ClaimAnswer } from "@bilberrycroft/protocol.control";
 import type { Store } from "@bilberrycroft/protocol.store";
-import { interval, type Subscription } from "rxjs";
 import type { AcceptedCall, CallResult } from "./callExecution";
 import { createAnswerHeaders, sendOwnResponse } from "./responses";
 
-const tickMs: Milliseconds = 10;
+const shortestTickMs: Milliseconds = 1;
 
 /** Options of `Claims`. */
 export interface ClaimsOptions {
     readonly keeper: ClaimKeeper;
+    readonly clock: Clock;
     readonly store: Store;
     /** Asks another node about its attempt; `undefined` if the node is dead or does not answer. */
     askNode(node: string, claim: { readonly key: string; readonly attempt: string }): Promise<OwnedOutcome | undefined>;
@@ -41,11 +41,9 @@
 /** Owns the claims of a node. */
 export class Claims {
     private readonly waiting = new Map<string, (decision: FinalDecision) => void>();
-    private readonly ticking: Subscription;
+    private timer: NodeJS.Timeout | undefined;
 
-    constructor(private readonly options: ClaimsOptions) {
-        this.ticking = interval(tickMs).subscribe(() => this.perform(options.keeper.tick()));
-    }
+    constructor(private readonly options: ClaimsOptions) {}
 
     /** Runs `execute` if this node won the claim for the call's key; otherwise responds with what is known. */
     async carryOnce(
@@ -88,7 +86,7 @@
 
     /** Ends the task's timer. */
     stop(): void {
-        this.ticking.unsubscribe();
+        clearTimeout(this.timer);
     }
 
     private claim(call: AcceptedCall): Promise<FinalDecision> {
@@ -126,6 +124,18 @@
                     assertNever(output);
             }
         }
+        this.scheduleTick();
+    }
+
+    /** Wakes only when the keeper waits for time; a steady tick would cost an idle node processor time for control. */
+    private scheduleTick(): void {
+        clearTimeout(this.timer);
+        const { keeper, clock } = this.options;
+        const at = keeper.nextTickAt();
+        if (at !== undefined) {
+            const waitMs = Math.max(shortestTickMs, at - clock.now());
+            this.timer = setTimeout(() => this.perform(keeper.tick()), waitMs);
+        }
     }
 
     private async readShard(output: Extract<ClaimOutput, { kind: ClaimOutputKind.ReadShard }>): Promise<void> {
--- a/daemons/node/src/node.ts
+++ b/daemons/node/src/node.ts
@@ -122,6 +122,7 @@
         this.quarantine = new Quarantine({ node: this.node, clock });
         this.claims = new Claims({
             keeper: new ClaimKeeper({ node: this.node, clock, random }),
+            clock,
             store: this.store,
             askNode: (node, claim) => this.askNode(node, claim),
         });
