Share the tolerant JSON parser and the splitting of addresses

Cause: the same parser of JSON that may be malformed stood in five packages and inlined in a sixth place, the splitting of host and port in the target client and in the crash probe, and a timer wait beside the one of Node. Change: core.json and splitAddress serve all of them; the wait is that of node:timers/promises. Left as they are: messages of the decisions that are alike in shape only (each package owns its variants), the two stand-ins' entry points, and the rows of the fault matrix, which are data.

--- a/coordination/idempotency/src/shard.ts
+++ b/coordination/idempotency/src/shard.ts
@@ -2,6 +2,7 @@
  * One shard of claims as the store holds it. Pure: operations give a new shard, and only the conditional write of that
  * shard makes them count.
  */
+import { parseJson } from "@bilberrycroft/core.json";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import { assertNever } from "@bilberrycroft/core.errors";
 import { z } from "zod";
@@ -278,12 +279,3 @@
     const separatorBytes = 1;
     return { claim, bytes: Buffer.byteLength(JSON.stringify(claim)) + separatorBytes };
 }
-
-function parseJson(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        return undefined;
-    }
-}
--- a/daemons/node/src/calls/callTask.ts
+++ b/daemons/node/src/calls/callTask.ts
@@ -15,7 +15,7 @@
 import { CallCounter, type CallHistograms } from "@bilberrycroft/state.histograms";
 import { findRoute, type RouteRule, type RuleSet } from "@bilberrycroft/state.rules";
 import type { VerifiedSnapshot } from "@bilberrycroft/state.snapshots";
-import { BodyOutcomeKind, readBody, type TargetClient } from "@bilberrycroft/transport.calls";
+import { BodyOutcomeKind, readBody, splitAddress, type TargetClient } from "@bilberrycroft/transport.calls";
 import { interval, Subject, type Subscription } from "rxjs";
 import {
     type AcceptedCall,
@@ -340,13 +340,8 @@
 
 /** Whether a process accepts connections at the address. */
 function probeListener(address: string): Promise<boolean> {
-    const separator = address.lastIndexOf(":");
     return new Promise(resolve => {
-        const socket = connect({
-            host: address.slice(0, separator).replace(/^\[|\]$/g, ""),
-            port: Number(address.slice(separator + 1)),
-            timeout: crashProbeTimeoutMs,
-        });
+        const socket = connect({ ...splitAddress(address), timeout: crashProbeTimeoutMs });
         const settle = (isListening: boolean): void => {
             socket.destroy();
             resolve(isListening);
--- a/daemons/node/src/tasks/configurationReader.ts
+++ b/daemons/node/src/tasks/configurationReader.ts
@@ -2,6 +2,7 @@
  * Reads the accepted configuration from the platform store, once at the start and by watches while this node is the
  * reader of its zone.
  */
+import { parseJson } from "@bilberrycroft/core.json";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import { assertNever } from "@bilberrycroft/core.errors";
 import type { Logger } from "@bilberrycroft/core.logger";
@@ -126,12 +127,3 @@
         return new Promise(resolve => setTimeout(resolve, waitMs));
     }
 }
-
-function parseJson(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        return undefined;
-    }
-}
--- a/daemons/node/src/tasks/configurationTask.ts
+++ b/daemons/node/src/tasks/configurationTask.ts
@@ -1,6 +1,7 @@
 /**
  * Task of the configuration in force: carries messages between the dissemination decision, the store and other nodes.
  */
+import { setTimeout as sleep } from "node:timers/promises";
 import {
     ConfigurationSourceKind,
     type Dissemination,
@@ -158,7 +159,7 @@
     }
 
     private async readUntilInForce(): Promise<void> {
-        await wait(this.options.random.nextFraction() * startReadJitterMs);
+        await sleep(this.options.random.nextFraction() * startReadJitterMs);
         while (!this.isStopped && this.current === undefined) {
             const current = await this.options.reader.readCurrent();
             this.takeStored(current);
@@ -166,7 +167,7 @@
                 // Nothing was accepted yet; the zone's reader or a peer will tell of the first version.
                 return;
             }
-            await wait(storeRetryMs);
+            await sleep(storeRetryMs);
         }
     }
 
@@ -296,7 +297,3 @@
             return assertNever(reply);
     }
 }
-
-function wait(durationMs: Milliseconds): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, durationMs));
-}
--- a/daemons/node/src/tasks/zoneRecord.ts
+++ b/daemons/node/src/tasks/zoneRecord.ts
@@ -1,6 +1,7 @@
 /**
  * The object that a zone has in the store, as the node reads it: lease, roster and summary.
  */
+import { parseJson } from "@bilberrycroft/core.json";
 import type { LeaseRecord } from "@bilberrycroft/coordination.lease";
 import type { KnownMember } from "@bilberrycroft/coordination.membership";
 import { z } from "zod";
@@ -31,13 +32,8 @@
 
 /** Parses the object; `undefined` if it does not hold a valid record. */
 export function parseLeaseRecord(value: string): LeaseRecord | undefined {
-    try {
-        const checked = recordSchema.safeParse(JSON.parse(value));
-        return checked.success ? { ...checked.data, holder: checked.data.holder } : undefined;
-    }
-    catch {
-        return undefined;
-    }
+    const checked = recordSchema.safeParse(parseJson(value));
+    return checked.success ? { ...checked.data, holder: checked.data.holder } : undefined;
 }
 
 /** Nodes of the zone that a joining node may ask: the writer of the record and the sample of members. */
--- a/standins/store/src/handler.ts
+++ b/standins/store/src/handler.ts
@@ -1,6 +1,7 @@
 /**
  * Handles the requests of the store API: checks each against its schema, calls the store, sends the outcome.
  */
+import { parseJson } from "@bilberrycroft/core.json";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import {
     maxObjectBytes,
@@ -160,15 +161,6 @@
     call.response.end();
 }
 
-function parseJson(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        return undefined;
-    }
-}
-
 /** Exactly one condition is required: an unconditional write could undo another operator's change. */
 function parseWriteCondition(request: IncomingMessage): WriteCondition | undefined {
     const match = request.headers["if-match"];
--- a/transport/calls/src/index.ts
+++ b/transport/calls/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./addresses";
 export * from "./bodies";
 export * from "./listener";
 export * from "./targetClient";
--- a/transport/calls/src/targetClient.ts
+++ b/transport/calls/src/targetClient.ts
@@ -6,6 +6,7 @@
  */
 import { Agent, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage, request } from "node:http";
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
+import { splitAddress } from "./addresses";
 
 const idleConnectionMs: Milliseconds = 20_000;
 // Node's parser accepts any three digits, but a server response with a status below 100 throws.
@@ -80,10 +81,8 @@
 
     /** Starts an attempt. */
     send(attempt: AttemptRequest): Attempt {
-        const separator = attempt.address.lastIndexOf(":");
         const clientRequest = request({
-            host: attempt.address.slice(0, separator).replace(/^\[|\]$/g, ""),
-            port: Number(attempt.address.slice(separator + 1)),
+            ...splitAddress(attempt.address),
             method: attempt.method,
             path: attempt.path,
             headers: attempt.headers as Record<string, string | string[]>,
--- a/transport/control/src/listener.ts
+++ b/transport/control/src/listener.ts
@@ -1,6 +1,7 @@
 /**
  * Control listener of a node: the tRPC router, announcements of the host's own targets, and metrics.
  */
+import { parseJson } from "@bilberrycroft/core.json";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Announcement } from "@bilberrycroft/coordination.membership";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
@@ -83,12 +84,3 @@
     response.writeHead(status, { "content-type": "application/json", connection: "close" });
     response.end(`${JSON.stringify(body)}\n`);
 }
-
-function parseJson(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        return undefined;
-    }
-}
--- a/transport/store/src/interpret.ts
+++ b/transport/store/src/interpret.ts
@@ -2,6 +2,7 @@
  * Turns HTTP exchanges into store outcomes. A response that the API does not define proves nothing: it is `Unavailable`
  * for reads and `Unknown` for writes.
  */
+import { parseJson } from "@bilberrycroft/core.json";
 import {
     createUnavailableOutcome,
     type ListOutcome,
@@ -98,15 +99,6 @@
     return revisionPattern.exec(response.entityTag ?? "")?.[1];
 }
 
-function parseJson(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        return undefined;
-    }
-}
-
 const reasonSchema = z.object({ reason: z.string() });
 
 function describeRefusal(response: Response): UnavailableStore {
