Run beside the targets of the users' platform: two-hop forwarding behind a thin adapter

Cause: on the platform a target is reached only from its own machine, nodes find each other through the store alone, and the product forwarded from the caller's node to the target in one hop. The probe of a listener and the passing on of an answer moved to transport.calls for both daemons.

--- /dev/null
+++ b/coordination/forwarding/src/index.ts
@@ -0,0 +1,10 @@
+/**
+ * Decisions of a call that passes two nodes.
+ */
+export * from "./callPlan";
+export * from "./peerRecord";
+export * from "./retryBudgets";
+export * from "./runTimes";
+export * from "./targetDirectory";
+export * from "./targetQueue";
+export * from "./weightedShares";
--- a/coordination/retries/src/budget.ts
+++ b/coordination/retries/src/budget.ts
@@ -10,24 +10,28 @@
     readonly share: number;
     /** Additional attempts per second that are allowed at any number of calls. */
     readonly minimumPerSecond: number;
+    /** Length of the sliding window; 10 s by default. */
+    readonly windowMs?: Milliseconds;
 }
 
 /** Length of the sliding window. */
 export const budgetWindowMs: Milliseconds = 10_000;
 
-// A finer bucket makes the window exact at the cost of a longer sum; 100 ms is 1 % of the window.
+// A finer bucket makes the window exact at the cost of a longer sum; 100 ms is 1 % of the usual window.
 const bucketMs: Milliseconds = 100;
-const bucketsOfWindow = budgetWindowMs / bucketMs;
 
-/** Counts calls and additional attempts of the last 10 s. */
+/** Counts calls and additional attempts of the last window. */
 export class Budget {
-    private readonly calls = new WindowCounter(bucketsOfWindow);
-    // One bucket more than the window: an attempt leaves the sum only when it is certainly older than the window.
-    private readonly spent = new WindowCounter(bucketsOfWindow + 1);
+    private readonly calls: WindowCounter;
+    private readonly spent: WindowCounter;
     private readonly options: BudgetOptions;
 
     constructor(options: BudgetOptions) {
         this.options = options;
+        const buckets = Math.ceil(this.windowMs / bucketMs);
+        this.calls = new WindowCounter(buckets);
+        // One bucket more than the window: an attempt leaves the sum only when it is certainly older than the window.
+        this.spent = new WindowCounter(buckets + 1);
     }
 
     /** Counts one call, which earns its share. */
@@ -37,14 +41,26 @@
 
     /** Takes one additional attempt from the budget; `false` if there is none left. */
     trySpend(now: Milliseconds): boolean {
-        const minimum = this.options.minimumPerSecond * budgetWindowMs / 1_000;
-        const allowed = Math.max(minimum, this.calls.sum(now) * this.options.share);
+        const minimum = this.options.minimumPerSecond * this.windowMs / 1_000;
+        return this.trySpendOf(Math.max(minimum, this.calls.sum(now) * this.options.share), now);
+    }
+
+    /** The same with an allowance on top of the share, for a budget that several nodes share. */
+    trySpendWithAllowance(allowance: number, now: Milliseconds): boolean {
+        return this.trySpendOf(allowance + this.calls.sum(now) * this.options.share, now);
+    }
+
+    private trySpendOf(allowed: number, now: Milliseconds): boolean {
         if (this.spent.sum(now) + 1 > allowed) {
             return false;
         }
         this.spent.add(now, 1);
         return true;
     }
+
+    private get windowMs(): Milliseconds {
+        return this.options.windowMs ?? budgetWindowMs;
+    }
 }
 
 /** Sum over the newest buckets of a ring. */
--- a/daemons/node/src/calls/answers.ts
+++ b/daemons/node/src/calls/answers.ts
@@ -1,8 +1,7 @@
 /**
  * Answers of targets: read whole when they are small, passed on as they arrive when they are not.
  */
-import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from "node:http";
-import { pipeline } from "node:stream";
+import type { IncomingHttpHeaders } from "node:http";
 import { CallHeader, CallOutcome, type ReportedLoad, parseLoad } from "@bilberrycroft/protocol.calls";
 import { AttemptEventKind, type AttemptEvent, BodyOutcomeKind, readBody } from "@bilberrycroft/transport.calls";
 
@@ -34,29 +33,6 @@
     return { status: head.status, headers: head.headers, body: outcome.body };
 }
 
-/** What was passed on of a streamed answer. */
-export interface StreamedAnswer {
-    readonly complete: boolean;
-    /** The caller went away before the end. */
-    readonly callerLeft: boolean;
-}
-
-/**
- * Passes the body on as it arrives. When the target's answer breaks off, the caller's connection is destroyed, so that
- * a truncated answer cannot be taken for a whole one.
- */
-export function streamAnswer(body: IncomingMessage, response: ServerResponse): Promise<StreamedAnswer> {
-    return new Promise(resolve => {
-        pipeline(body, response, error => {
-            const callerLeft = response.destroyed && !response.writableFinished && body.complete;
-            if (error) {
-                response.destroy();
-            }
-            resolve({ complete: body.complete && response.writableFinished, callerLeft });
-        });
-    });
-}
-
 /** The target said that it did not begin the call. */
 export function saysNotRun(head: AnswerHead): boolean {
     return head.headers[CallHeader.Outcome] === CallOutcome.NotRun;
--- a/daemons/node/src/calls/callExecution.ts
+++ b/daemons/node/src/calls/callExecution.ts
@@ -24,7 +24,13 @@
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import { assertNever } from "@bilberrycroft/core.errors";
 import { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
-import { type Attempt, type AttemptEvent, AttemptEventKind, type TargetClient } from "@bilberrycroft/transport.calls";
+import {
+    type Attempt,
+    type AttemptEvent,
+    AttemptEventKind,
+    streamAnswer,
+    type TargetClient,
+} from "@bilberrycroft/transport.calls";
 import {
     type Answer,
     type AnswerHead,
@@ -34,7 +40,6 @@
     retryAfterOf,
     saysDraining,
     saysNotRun,
-    streamAnswer,
 } from "./answers";
 import { type CallHead, createAttemptHeaders } from "./callRequest";
 import { createAnswerHeaders, sendOwnResponse } from "./responses";
--- a/daemons/node/src/calls/callTask.ts
+++ b/daemons/node/src/calls/callTask.ts
@@ -4,7 +4,6 @@
  */
 import { createHash, randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { connect } from "node:net";
 import { type DispatchEvent, type Dispatcher, type TenantShare } from "@bilberrycroft/coordination.admission";
 import { type CallAtCrash, type Quarantine, QuarantineDecisionKind, type QuarantineReport } from "@bilberrycroft/coordination.quarantine";
 import type { Retries } from "@bilberrycroft/coordination.retries";
@@ -15,7 +14,7 @@
 import { CallCounter, type CallHistograms } from "@bilberrycroft/state.histograms";
 import { findRoute, type RouteRule, type RuleSet } from "@bilberrycroft/state.rules";
 import type { VerifiedSnapshot } from "@bilberrycroft/state.snapshots";
-import { BodyOutcomeKind, readBody, splitAddress, type TargetClient } from "@bilberrycroft/transport.calls";
+import { BodyOutcomeKind, probeListener, readBody, type TargetClient } from "@bilberrycroft/transport.calls";
 import { interval, Subject, type Subscription } from "rxjs";
 import {
     type AcceptedCall,
@@ -34,7 +33,6 @@
 const tickMs: Milliseconds = 20;
 const reportIntervalMs: Milliseconds = 500;
 const crashProbeDelayMs: Milliseconds = 20;
-const crashProbeTimeoutMs: Milliseconds = 500;
 const anonymousTenant = "anonymous";
 // Leaves the caller's node time to respond before the caller itself gives up.
 const deadlineMarginMs: Milliseconds = 2;
@@ -337,18 +335,3 @@
 function shareOf(rules: RuleSet, tenant: string | undefined): TenantShare {
     return (tenant === undefined ? undefined : rules.tenants.get(tenant)) ?? anonymousShare;
 }
-
-/** Whether a process accepts connections at the address. */
-function probeListener(address: string): Promise<boolean> {
-    return new Promise(resolve => {
-        const socket = connect({ ...splitAddress(address), timeout: crashProbeTimeoutMs });
-        const settle = (isListening: boolean): void => {
-            socket.destroy();
-            resolve(isListening);
-        };
-        socket.on("connect", () => settle(true));
-        // A target that does not answer may be cut off; only a refused connection shows that its process is gone.
-        socket.on("timeout", () => settle(true));
-        socket.on("error", error => settle((error as NodeJS.ErrnoException).code !== "ECONNREFUSED"));
-    });
-}
--- /dev/null
+++ b/daemons/sidecar/src/index.ts
@@ -0,0 +1,4 @@
+export * from "./metrics";
+export * from "./ports";
+export * from "./settings";
+export * from "./sidecar";
--- /dev/null
+++ b/daemons/sidecar/src/sidecar.ts
@@ -0,0 +1,303 @@
+/**
+ * One sidecar: the process beside a target that carries the calls of its host to targets anywhere, and the calls of all
+ * hosts to its target.
+ */
+import { randomInt } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import { RetryBudgets, TargetDirectory, TargetQueue } from "@bilberrycroft/coordination.forwarding";
+import { Quarantine, QuarantineReportKind } from "@bilberrycroft/coordination.quarantine";
+import { OwnTarget, type TargetDeparture, type TargetHeartbeat } from "@bilberrycroft/coordination.registration";
+import { type Clock, type Milliseconds, SystemClock } from "@bilberrycroft/core.clock";
+import type { EventLog } from "@bilberrycroft/core.eventLog";
+import { createSeededRandom, type Random } from "@bilberrycroft/core.random";
+import { type AnnouncedCrash, type NodeEntry, parseNodeEntry, type StateMark } from "@bilberrycroft/protocol.forwarding";
+import { type Listener, splitAddress, startListener, TargetClient } from "@bilberrycroft/transport.calls";
+import { PeerClient } from "@bilberrycroft/transport.forwarding";
+import { CallMetrics } from "./metrics";
+import type { MeshPlatform } from "./ports";
+import type { SidecarSettings } from "./settings";
+import { CallerTask } from "./tasks/callerTask";
+import { type CollectionContent, CollectionTask } from "./tasks/collectionTask";
+import { ConfigurationTask } from "./tasks/configurationTask";
+import { ProbeTask } from "./tasks/probeTask";
+import { RegistrationTask } from "./tasks/registrationTask";
+import { TargetTask } from "./tasks/targetTask";
+
+/** Options of a `Sidecar`. */
+export interface SidecarOptions {
+    readonly settings: SidecarSettings;
+    readonly platform: MeshPlatform;
+    readonly log: EventLog;
+    /** Seed of all random choices; chosen at random by default. */
+    readonly seed?: number;
+}
+
+const largestSeed = 0x7fffffff;
+const maxConnections = 3_000;
+const maxHeaderBytes = 65_536;
+const requestTimeoutMs: Milliseconds = 60_000;
+/** Connections between nodes stay open between calls; the calling side closes them first. */
+const peerIdleTimeoutMs: Milliseconds = 60_000;
+/** Changes of the configuration are due within seconds; gathering them for this long saves most watches of a series. */
+const configurationGatherMs: Milliseconds = 400;
+/** A call that meets an outdated table is refused by the target's node and goes elsewhere at once. */
+const registryGatherMs: Milliseconds = 500;
+/** Callers are told by readiness to go elsewhere; two checks a second apart, and some time for the second. */
+const callersLeaveMs: Milliseconds = 2_300;
+const stopPollMs: Milliseconds = 50;
+/** Part of the grace that is left unused, for the process to end by itself. */
+const unusedGraceMs: Milliseconds = 400;
+
+/** A running sidecar. */
+export class Sidecar {
+    readonly metrics = new CallMetrics();
+    private readonly clock: Clock = new SystemClock();
+    private readonly random: Random;
+    private readonly peerClient = new PeerClient();
+    private readonly targetClient = new TargetClient(this.clock);
+    private readonly directory: TargetDirectory;
+    private readonly quarantine: Quarantine;
+    private readonly configurations: CollectionTask;
+    private readonly registry: CollectionTask;
+    private readonly configuration: ConfigurationTask;
+    private readonly registration: RegistrationTask;
+    private readonly callers: CallerTask;
+    private readonly target: TargetTask;
+    private readonly probes: ProbeTask;
+    private callerListener: Listener | undefined;
+    private offerListener: Listener | undefined;
+    private stopping: Promise<void> | undefined;
+
+    constructor(private readonly options: SidecarOptions) {
+        const { settings, platform, log } = options;
+        const { clock, directory, random } = this.createBase();
+        this.random = random;
+        this.directory = directory;
+        this.quarantine = new Quarantine({ node: settings.node, clock });
+        this.configurations = this.createCollectionTask("configuration", platform.configurations, configurationGatherMs);
+        this.registry = this.createCollectionTask("nodes", platform.nodes, registryGatherMs);
+        this.configuration = new ConfigurationTask({ platform, log });
+        const ownTarget = new OwnTarget({
+            clock,
+            service: settings.service,
+            address: settings.targetAddress,
+            heartbeatIntervalMs: settings.heartbeatIntervalMs,
+        });
+        this.registration = new RegistrationTask({
+            node: settings.node,
+            zone: settings.zone,
+            offerAddress: settings.offerAddress,
+            target: ownTarget,
+            collection: platform.nodes,
+            clock,
+            log,
+        });
+        this.target = this.createTargetTask(ownTarget);
+        this.callers = this.createCallerTask();
+        this.probes = new ProbeTask({ directory, client: this.peerClient, log });
+        this.connectTasks();
+    }
+
+    /** Binds the listeners; rejects when an address cannot be bound. */
+    async start(): Promise<void> {
+        const { settings } = this.options;
+        this.callerListener = await startListener({
+            ...splitAddress(settings.callerAddress),
+            maxConnections,
+            maxHeaderBytes,
+            requestTimeoutMs,
+            handle: (request, response) => this.callers.handle(request, response),
+        });
+        this.offerListener = await startListener({
+            ...splitAddress(settings.offerAddress),
+            maxConnections,
+            maxHeaderBytes,
+            requestTimeoutMs,
+            idleTimeoutMs: peerIdleTimeoutMs,
+            handle: (request, response) => this.target.handle(request, response),
+            handleExpectation: (request, response) => this.target.handleOffer(request, response),
+        });
+        this.target.start();
+        this.probes.start();
+        this.configurations.start();
+        this.registry.start();
+    }
+
+    /** Whether callers may be sent here: the node knows what it needs to serve them, and it does not stop. */
+    get isReady(): boolean {
+        return this.stopping === undefined && this.configuration.current !== undefined && this.registry.hasContent;
+    }
+
+    /** Takes a heartbeat of the target; `false` if it is not from the target beside this node. */
+    heartbeat(heartbeat: TargetHeartbeat): Promise<boolean> {
+        return this.registration.heartbeat(heartbeat);
+    }
+
+    /** Takes a departure of the target. */
+    departed(departure: TargetDeparture): Promise<void> {
+        return this.registration.departed(departure);
+    }
+
+    /** Metrics in the Prometheus text format. */
+    renderMetrics(): string {
+        return this.metrics.render([
+            { name: "configuration_version", help: "Version in force.", read: () => this.configuration.current?.version ?? 0 },
+            { name: "nodes_known", help: "Nodes in the table.", read: () => this.directory.size },
+            { name: "calls_in_progress", help: "Calls of callers in progress.", read: () => this.callers.inProgress },
+            { name: "target_calls", help: "Calls in the target or waiting for it.", read: () => this.target.inProgress },
+            { name: "log_lines_dropped", help: "Log lines dropped.", read: () => this.options.log.dropped },
+        ]);
+    }
+
+    /** Planned stop: resolves when nothing is in progress or the time for it is over. */
+    stop(): Promise<void> {
+        this.stopping ??= this.stopGracefully();
+        return this.stopping;
+    }
+
+    private createBase(): { readonly clock: Clock; readonly directory: TargetDirectory; readonly random: Random } {
+        const { settings, seed } = this.options;
+        const random = createSeededRandom(seed ?? randomInt(largestSeed));
+        const directory = new TargetDirectory({ clock: this.clock, random, zone: settings.zone });
+        return { clock: this.clock, random, directory };
+    }
+
+    private createCollectionTask(
+        name: string,
+        collection: MeshPlatform["nodes"],
+        gatherMs: Milliseconds,
+    ): CollectionTask {
+        const { clock, random } = this;
+        return new CollectionTask({ name, collection, clock, random, log: this.options.log, gatherMs });
+    }
+
+    private createTargetTask(target: OwnTarget): TargetTask {
+        const { settings, platform, log } = this.options;
+        const { clock, random, quarantine } = this;
+        return new TargetTask({
+            clock,
+            queue: new TargetQueue({ clock, random }),
+            target,
+            quarantine,
+            client: this.targetClient,
+            codec: platform.headers,
+            log,
+            targetAddress: settings.targetAddress,
+            stateMark: () => this.stateMark(),
+            stateHeard: mark => this.stateHeard(mark),
+            targetCrashed: crashes => this.targetCrashed(crashes),
+        });
+    }
+
+    private createCallerTask(): CallerTask {
+        const { settings, platform, log } = this.options;
+        const { clock, random, directory, quarantine, metrics } = this;
+        return new CallerTask({
+            clock,
+            random,
+            client: this.peerClient,
+            codec: platform.headers,
+            directory,
+            log,
+            quarantine,
+            metrics,
+            budgets: new RetryBudgets({ clock, bound: settings.retryBudget, countNodes: () => directory.size }),
+            hostIp: splitAddress(settings.callerAddress).host,
+            service: settings.service,
+            stateMark: () => this.stateMark(),
+            stateHeard: mark => this.stateHeard(mark),
+        });
+    }
+
+    private connectTasks(): void {
+        this.configurations.contents.subscribe(content => this.configuration.take(content));
+        this.configuration.activations.subscribe(table => {
+            this.callers.activate(table);
+            this.callerListener?.setIdleTimeout(table.configuration.callerLimits.idleTimeoutMs);
+        });
+        this.registry.contents.subscribe(content => {
+            this.registration.take(content);
+            this.takeEntries(content);
+        });
+        this.registration.changes.subscribe(() => this.target.believe());
+    }
+
+    private takeEntries({ objects }: CollectionContent): void {
+        const entries: NodeEntry[] = [];
+        for (const { name, value } of objects.values()) {
+            const entry = parseNodeEntry(value);
+            if (entry === undefined || entry.node !== name) {
+                this.options.log.warn("entry-malformed", { name });
+                continue;
+            }
+            entries.push(entry);
+            this.mergeCrashes(entry);
+        }
+        this.directory.setEntries(entries);
+        this.peerClient.retain(new Set(entries.map(({ address }) => address)));
+        this.options.log.info("nodes-changed", { nodes: entries.length, revision: this.registry.newestRevision });
+    }
+
+    private mergeCrashes({ node, crashes }: NodeEntry): void {
+        if (crashes.length > 0 && node !== this.options.settings.node) {
+            this.quarantine.mergeReports(crashes.map(crash => ({ kind: QuarantineReportKind.Crash, node, ...crash })));
+        }
+    }
+
+    private targetCrashed(crashes: readonly AnnouncedCrash[]): void {
+        const wallTime = this.clock.wallTime();
+        for (const { target, at, fingerprint, startedAt } of crashes) {
+            const ageMs = Math.max(0, wallTime - startedAt);
+            this.quarantine.targetCrashed({ target, at, inFlight: [{ fingerprint, ageMs }] });
+        }
+        this.registration.addCrashes(crashes);
+    }
+
+    private stateMark(): StateMark {
+        return {
+            configurationVersion: this.configuration.current?.version ?? 0,
+            registryRevision: this.registry.newestRevision,
+        };
+    }
+
+    private stateHeard(mark: StateMark): void {
+        const own = this.stateMark();
+        follow(this.configurations, mark.configurationVersion > own.configurationVersion);
+        follow(this.registry, mark.registryRevision > own.registryRevision);
+    }
+
+    private async stopGracefully(): Promise<void> {
+        const startedAt = this.clock.now();
+        const endsAt = startedAt + this.options.settings.graceMs - unusedGraceMs;
+        this.callerListener?.announceStop();
+        this.target.leave();
+        await sleep(Math.min(callersLeaveMs, endsAt - startedAt));
+        const closed = this.callerListener?.stopAccepting();
+        while (this.clock.now() < endsAt && (this.callers.inProgress > 0 || this.target.inProgress > 0)) {
+            await sleep(stopPollMs);
+        }
+        await Promise.race([closed, sleep(Math.max(0, Math.min(stopPollMs, endsAt - this.clock.now())))]);
+        await Promise.race([this.registration.leave(), sleep(Math.max(0, endsAt - this.clock.now()))]);
+        this.close();
+    }
+
+    private close(): void {
+        this.configurations.stop();
+        this.registry.stop();
+        this.target.stop();
+        this.probes.stop();
+        this.peerClient.close();
+        this.targetClient.close();
+        void this.callerListener?.close();
+        void this.offerListener?.close();
+    }
+}
+
+function follow(task: CollectionTask, isBehind: boolean): void {
+    if (isBehind) {
+        task.overtaken();
+    }
+    else {
+        task.caughtUp();
+    }
+}
--- /dev/null
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -0,0 +1,228 @@
+/**
+ * Takes the calls of this host's callers and of its target.
+ */
+import { createHash } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+    CallPlan,
+    type PlanServices,
+    RouteLatencyTable,
+    type RetryBudgets,
+    WeightedShares,
+} from "@bilberrycroft/coordination.forwarding";
+import { type Quarantine, QuarantineDecisionKind } from "@bilberrycroft/coordination.quarantine";
+import type { Milliseconds } from "@bilberrycroft/core.clock";
+import type { Random } from "@bilberrycroft/core.random";
+import { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
+import { meshHeaders } from "@bilberrycroft/protocol.forwarding";
+import type { Route, RouteTable } from "@bilberrycroft/state.routes";
+import { BodyOutcomeKind, readBody } from "@bilberrycroft/transport.calls";
+import { copyHeaders } from "@bilberrycroft/transport.forwarding";
+import { type AcceptedCall, type CallEnd, CallerCall, type CallerServices } from "../calls/callerCall";
+import { bodyTooLargeStatus, sendOwnResponse } from "../calls/ownResponses";
+import type { CallMetrics } from "../metrics";
+import type { CallerHead } from "../ports";
+
+/** Options of a `CallerTask`. */
+export interface CallerTaskOptions extends CallerServices {
+    readonly random: Random;
+    readonly budgets: RetryBudgets;
+    readonly quarantine: Quarantine;
+    readonly metrics: CallMetrics;
+    /** IP number of this host, by which calls of its target are told from those of its callers. */
+    readonly hostIp: string;
+    /** Service beside this node. */
+    readonly service: string;
+}
+
+/** Leaves the response time to reach the caller before it gives up. */
+const deadlineMarginMs: Milliseconds = 10;
+/** Longest time that a caller is served if neither it nor the route sets one. */
+const longestWaitMs: Milliseconds = 600_000;
+/** Part of the latency objective in which another node has to respond, and its bounds. */
+const acknowledgePart = 0.3;
+const shortestAcknowledgeMs: Milliseconds = 50;
+const longestAcknowledgeMs: Milliseconds = 150;
+const noConfigurationRetryMs: Milliseconds = 300;
+/** Weight of the latest answer in a route's usual size. */
+const sizeGain = 0.1;
+
+/** Calls that begin on this host. */
+export class CallerTask {
+    private readonly shares: WeightedShares;
+    private readonly latencies = new RouteLatencyTable();
+    private readonly answerSizes = new Map<string, number>();
+    private table: RouteTable | undefined;
+    private callsInProgress = 0;
+
+    constructor(private readonly options: CallerTaskOptions) {
+        this.shares = new WeightedShares(options.random);
+    }
+
+    /** Calls that have no response yet. */
+    get inProgress(): number {
+        return this.callsInProgress;
+    }
+
+    /** Puts routes in force; calls in progress keep theirs. */
+    activate(table: RouteTable): void {
+        this.table = table;
+        for (const route of this.answerSizes.keys()) {
+            if (!table.configuration.routes.some(({ name }) => name === route)) {
+                this.answerSizes.delete(route);
+            }
+        }
+    }
+
+    /** Handles one request of a caller. */
+    handle(request: IncomingMessage, response: ServerResponse): void {
+        this.callsInProgress++;
+        void this.carry(request, response, this.options.clock.now()).finally(() => {
+            this.callsInProgress--;
+        });
+    }
+
+    private async carry(request: IncomingMessage, response: ServerResponse, startedAt: Milliseconds): Promise<void> {
+        const { codec, log } = this.options;
+        const { table } = this;
+        const head = codec.readCaller(request.headers);
+        const refuse = (reason: CallReason, status?: number): void => {
+            request.resume();
+            const { host } = request.headers;
+            log.info("call-refused", { call: head?.callId, host, path: request.url, version: table?.version, reason });
+            const retryAfterMs = reason === CallReason.NoConfiguration ? noConfigurationRetryMs : undefined;
+            sendOwnResponse(response, codec, { callId: head?.callId, reason, retryAfterMs, status });
+        };
+        if (table === undefined) {
+            return refuse(CallReason.NoConfiguration);
+        }
+        if (head === undefined) {
+            return refuse(CallReason.BadRequest);
+        }
+        const url = request.url ?? "/";
+        const route = table.find(hostOf(request), url.split("?", 1)[0] ?? url);
+        if (route === undefined) {
+            return refuse(CallReason.NoRoute);
+        }
+        const body = await readBody(request, table.configuration.callerLimits.maxBodyBytes);
+        switch (body.kind) {
+            case BodyOutcomeKind.TooLarge:
+                return refuse(CallReason.BadRequest, bodyTooLargeStatus);
+            case BodyOutcomeKind.Truncated:
+                response.destroy();
+                return;
+            case BodyOutcomeKind.Complete:
+                return this.forward({ request, response, head, route, table, body: body.body, startedAt });
+        }
+    }
+
+    private async forward(read: ReadCall): Promise<void> {
+        const { options } = this;
+        const { request, response, head, route } = read;
+        const service = this.shares.next(route);
+        const call = this.createCall(read);
+        const quarantined = options.quarantine.check(call.offer.fingerprint);
+        if (quarantined.kind === QuarantineDecisionKind.Held) {
+            const { retryAfterMs } = quarantined;
+            options.log.warn("call-quarantined", { call: head.callId, route: route.name, retryAfterMs });
+            const reason = CallReason.Quarantined;
+            sendOwnResponse(response, options.codec, { callId: head.callId, reason, retryAfterMs });
+            return;
+        }
+        const services: PlanServices = {
+            clock: options.clock,
+            directory: options.directory,
+            budgets: options.budgets,
+            latencies: this.latencies,
+            mayRepeat: () => options.quarantine.check(call.offer.fingerprint).kind !== QuarantineDecisionKind.Held,
+        };
+        const { startedAt, objectiveAt, deadlineAt } = call;
+        const planned = { callId: head.callId, route, service, startedAt, objectiveAt, deadlineAt };
+        const plan = new CallPlan(services, planned, this.answerSizes.get(route.name) ?? 0);
+        const end = await new CallerCall(call, plan, options).run();
+        this.record(call, service, end);
+        request.resume();
+    }
+
+    private createCall({ request, response, head, route, table, body, startedAt }: ReadCall): AcceptedCall {
+        const { options } = this;
+        const waitMs = Math.min(head.waitMs ?? longestWaitMs, longestWaitMs);
+        const hasBody = body.length > 0 || request.headers["content-length"] !== undefined
+            || request.headers["transfer-encoding"] !== undefined;
+        const fingerprint = options.quarantine.fingerprint({
+            method: request.method ?? "GET",
+            path: request.url ?? "/",
+            tenant: options.service,
+            bodyDigest: createHash("sha256").update(body).digest("base64url"),
+        });
+        const acknowledgeMs = acknowledgePart * route.latencyObjectiveMs;
+        return {
+            request,
+            response,
+            headers: copyHeaders(request.headers, name => meshHeaders.has(name) || name === "content-length"),
+            body,
+            hasBody,
+            callId: head.callId,
+            route: route.name,
+            version: table.version,
+            startedAt,
+            objectiveAt: startedAt + route.latencyObjectiveMs,
+            deadlineAt: startedAt + Math.min(route.timeoutMs, Math.max(1, waitMs - deadlineMarginMs)),
+            acknowledgeMs: Math.max(shortestAcknowledgeMs, Math.min(longestAcknowledgeMs, acknowledgeMs)),
+            offer: {
+                route: route.name,
+                priority: route.priority,
+                isInner: request.socket.remoteAddress === options.hostIp,
+                repeatable: route.repeatable,
+                callerService: options.service,
+                callId: head.callId,
+                fingerprint,
+            },
+        };
+    }
+
+    private record(call: AcceptedCall, service: string, end: CallEnd): void {
+        const { clock, log, metrics } = this.options;
+        const latencyMs = clock.now() - call.startedAt;
+        metrics.callEnded({ route: call.route, service, outcome: end.outcome, reason: end.reason, latencyMs });
+        if (end.outcome === CallOutcome.Done) {
+            this.latencies.of(call.route).record(latencyMs);
+            const before = this.answerSizes.get(call.route) ?? end.answerBytes;
+            this.answerSizes.set(call.route, before + sizeGain * (end.answerBytes - before));
+        }
+        const fields = {
+            call: call.callId,
+            route: call.route,
+            version: call.version,
+            service,
+            inner: call.offer.isInner ? true : undefined,
+            outcome: end.outcome,
+            reason: end.reason,
+            status: end.status,
+            target: end.target,
+            attempts: end.attempts,
+            latencyMs: Math.round(latencyMs),
+        };
+        if (end.outcome === CallOutcome.Done) {
+            log.info("call-answered", fields);
+        }
+        else {
+            log.warn("call-not-answered", fields);
+        }
+    }
+}
+
+/** A call whose request has been read whole. */
+interface ReadCall {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly head: CallerHead;
+    readonly route: Route;
+    readonly table: RouteTable;
+    readonly body: Buffer;
+    readonly startedAt: Milliseconds;
+}
+
+function hostOf(request: IncomingMessage): string {
+    return (request.headers.host ?? "").replace(/:\d+$/, "");
+}
--- /dev/null
+++ b/daemons/sidecar/src/tasks/probeTask.ts
@@ -0,0 +1,60 @@
+/**
+ * Asks nodes that did not respond whether they are back, so that no call has to find out.
+ */
+import type { TargetDirectory } from "@bilberrycroft/coordination.forwarding";
+import type { Milliseconds } from "@bilberrycroft/core.clock";
+import type { EventLog } from "@bilberrycroft/core.eventLog";
+import { type NodeEntry, OfferHeader, parseTargetLoad } from "@bilberrycroft/protocol.forwarding";
+import type { PeerClient } from "@bilberrycroft/transport.forwarding";
+import { loadPath } from "./targetTask";
+
+/** Options of a `ProbeTask`. */
+export interface ProbeTaskOptions {
+    readonly directory: TargetDirectory;
+    readonly client: PeerClient;
+    readonly log: EventLog;
+}
+
+const tickMs: Milliseconds = 100;
+/** A node that takes longer than this is of no use to calls. */
+const probeTimeoutMs: Milliseconds = 150;
+
+/** Probes of one node. */
+export class ProbeTask {
+    private readonly asked = new Set<string>();
+    private timer: NodeJS.Timeout | undefined;
+
+    constructor(private readonly options: ProbeTaskOptions) {}
+
+    start(): void {
+        this.timer = setInterval(() => this.tick(), tickMs);
+    }
+
+    stop(): void {
+        clearInterval(this.timer);
+    }
+
+    private tick(): void {
+        for (const entry of this.options.directory.dueProbes()) {
+            if (!this.asked.has(entry.node)) {
+                void this.probe(entry);
+            }
+        }
+    }
+
+    private async probe({ node, address }: NodeEntry): Promise<void> {
+        const { directory, client, log } = this.options;
+        this.asked.add(node);
+        const response = await client.ask(address, loadPath, probeTimeoutMs);
+        this.asked.delete(node);
+        const load = parseTargetLoad(response?.headers[OfferHeader.Load]);
+        if (load === undefined) {
+            directory.distrust(node);
+            return;
+        }
+        directory.loadHeard(node, load);
+        if (directory.isTrusted(node)) {
+            log.info("node-trusted", { node, availability: load.availability });
+        }
+    }
+}
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -32,7 +32,7 @@
 ];
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**"] },
+    { ignores: ["**/dist/**", "**/target/**", "**/node_modules/**"] },
     ...tseslint.configs.recommended,
     stylistic.configs.customize({
         indent: 4,
--- /dev/null
+++ b/protocol/forwarding/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./headers";
+export * from "./targetLoad";
+export * from "./targetEntry";
--- a/protocol/store/src/index.ts
+++ b/protocol/store/src/index.ts
@@ -1,5 +1,7 @@
+export * from "./collections";
 export * from "./faults";
 export * from "./keys";
 export * from "./memoryStore";
 export * from "./objects";
+export * from "./outcomes";
 export * from "./types";
--- a/protocol/store/src/memoryStore.ts
+++ b/protocol/store/src/memoryStore.ts
@@ -5,7 +5,6 @@
 import { asyncScheduler, type SchedulerLike } from "rxjs";
 import { FaultState, type StoreCallCounts, StoreCallKind, type StoreFault, type StoreFaultControl } from "./faults";
 import {
-    createUnavailableOutcome,
     getConditionRevision,
     maxWatchWaitMs,
     refuseBadValue,
@@ -13,6 +12,7 @@
     refuseMalformedPrefix,
     refuseMalformedRevision,
 } from "./objects";
+import { createUnavailableOutcome } from "./outcomes";
 import {
     type ListOutcome,
     type ReadOutcome,
--- a/protocol/store/src/objects.ts
+++ b/protocol/store/src/objects.ts
@@ -2,9 +2,9 @@
  * Bounds and checks of keys and values that every implementation of the store shares.
  */
 import { z } from "zod";
+import { createUnavailableOutcome } from "./outcomes";
 import {
     maxObjectBytes,
-    StoreOutcomeKind,
     type UnavailableStore,
     type WriteCondition,
     WriteConditionKind,
@@ -25,11 +25,6 @@
 /** Revisions are opaque, but safe in a quoted entity tag. */
 export const objectRevisionSchema = z.string().regex(/^[A-Za-z0-9._:-]{1,64}$/);
 
-/** Creates the outcome of a call that did not take effect. */
-export function createUnavailableOutcome(reason: string): UnavailableStore {
-    return { kind: StoreOutcomeKind.Unavailable, reason };
-}
-
 /** Refuses a malformed key; `undefined` when the key is well formed. */
 export function refuseMalformedKey(key: string): UnavailableStore | undefined {
     return objectKeySchema.safeParse(key).success ? undefined : createUnavailableOutcome(`malformed key "${key}"`);
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -2,12 +2,14 @@
  * Bundles each binary and command of the workspace into one file under dist/.
  *
  * Node's own modules stay external; everything else is included so that a host needs Node and one file.
+ * `node scripts/build.mjs <folder> <name>...` bundles the named ones into another folder.
  */
 import { existsSync } from "node:fs";
 import { chmod, mkdir } from "node:fs/promises";
 import { build } from "esbuild";
 
 const entries = {
+    "bilberrycroft-sidecar": "platform/src/main.ts",
     "bilberrycroft-node": "daemons/node/src/main.ts",
     "bilberrycroft-store": "standins/store/src/main.ts",
     "bilberrycroft-target": "standins/target/src/main.ts",
@@ -21,8 +23,13 @@
 const requireShim = "import { createRequire as createRequireForBundle } from \"node:module\";"
     + " const require = createRequireForBundle(import.meta.url);";
 
-await mkdir("dist", { recursive: true });
+const [folder = "dist", ...names] = process.argv.slice(2);
+
+await mkdir(folder, { recursive: true });
 for (const [name, entry] of Object.entries(entries)) {
+    if (names.length > 0 && !names.includes(name)) {
+        continue;
+    }
     if (!existsSync(entry)) {
         console.error(`build: ${entry} does not exist`);
         process.exitCode = 1;
@@ -30,13 +37,15 @@
     }
     await build({
         entryPoints: [entry],
-        outfile: `dist/${name}.mjs`,
+        outfile: `${folder}/${name}.mjs`,
         bundle: true,
         platform: "node",
         target: "node20",
         format: "esm",
+        // The form that can be reduced to what is used; for Node, rxjs names another one, which is loaded whole.
+        alias: { rxjs: "./node_modules/rxjs/dist/esm/index.js" },
         banner: { js: `#!/usr/bin/env node\n${requireShim}` },
         logLevel: "warning",
     });
-    await chmod(`dist/${name}.mjs`, 0o755);
+    await chmod(`${folder}/${name}.mjs`, 0o755);
 }
--- /dev/null
+++ b/state/routes/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./check";
+export * from "./routeTable";
+export * from "./types";
--- /dev/null
+++ b/state/routes/src/routeTable.ts
@@ -0,0 +1,36 @@
+/**
+ * The routes of one configuration, indexed by host and path prefix.
+ */
+import type { MeshConfiguration, Route } from "./types";
+
+/** Routes of one version. Immutable: a call keeps the table with which it started. */
+export class RouteTable {
+    private readonly byHost = new Map<string, Map<string, Route>>();
+
+    constructor(readonly configuration: MeshConfiguration) {
+        for (const route of configuration.routes) {
+            const routes = this.byHost.get(route.host) ?? new Map<string, Route>();
+            this.byHost.set(route.host, routes);
+            routes.set(route.pathPrefix, route);
+        }
+    }
+
+    get version(): number {
+        return this.configuration.version;
+    }
+
+    /** The route of the host with the longest prefix that begins the path. */
+    find(host: string, path: string): Route | undefined {
+        const routes = this.byHost.get(host.toLowerCase());
+        if (routes === undefined) {
+            return undefined;
+        }
+        for (let end = path.lastIndexOf("/"); end >= 0; end = end === 0 ? -1 : path.lastIndexOf("/", end - 1)) {
+            const route = routes.get(path.slice(0, end + 1));
+            if (route !== undefined) {
+                return route;
+            }
+        }
+        return undefined;
+    }
+}
--- a/transport/calls/src/listener.ts
+++ b/transport/calls/src/listener.ts
@@ -7,8 +7,8 @@
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 
 const headersTimeoutMs: Milliseconds = 10_000;
-const keepAliveTimeoutMs: Milliseconds = 30_000;
-const maxHeaderBytes = 16_384;
+const defaultIdleTimeoutMs: Milliseconds = 30_000;
+const defaultMaxHeaderBytes = 16_384;
 
 /** Options of `startListener`. */
 export interface ListenerOptions {
@@ -19,13 +19,21 @@
     readonly maxConnections: number;
     /** Time in which a request must have arrived whole. */
     readonly requestTimeoutMs: Milliseconds;
+    /** Bound on the headers of a request; 16 KiB by default. */
+    readonly maxHeaderBytes?: number;
+    /** Time after which an idle connection is closed; 30 s by default. */
+    readonly idleTimeoutMs?: Milliseconds;
     handle(request: IncomingMessage, response: ServerResponse): void;
+    /** Takes requests that wait for `100 Continue`; without it the listener continues each of them by itself. */
+    handleExpectation?(request: IncomingMessage, response: ServerResponse): void;
 }
 
 /** A listener that accepts requests. */
 export interface Listener {
     /** `host:port` that the listener is bound to. */
     readonly address: string;
+    /** Sets the time after which an idle connection is closed. */
+    setIdleTimeout(idleTimeoutMs: Milliseconds): void;
     /** Goes on accepting, but ends each connection after its next response, so that callers move elsewhere. */
     announceStop(): void;
     /** Accepts no new connection; resolves when the last connection has ended after its current response. */
@@ -38,20 +46,30 @@
 export function startListener(options: ListenerOptions): Promise<Listener> {
     let stopping = false;
     const openResponses = new OpenResponses();
-    const server = createServer({
-        maxHeaderSize: maxHeaderBytes,
-        headersTimeout: Math.min(headersTimeoutMs, options.requestTimeoutMs),
-        requestTimeout: options.requestTimeoutMs,
-        keepAliveTimeout: keepAliveTimeoutMs,
-        noDelay: true,
-    }, (request, response) => {
+    const accept = (request: IncomingMessage, response: ServerResponse): void => {
         if (stopping) {
             response.setHeader("connection", "close");
         }
         response.on("error", () => undefined);
         openResponses.add(request.socket, response);
+    };
+    const server = createServer({
+        maxHeaderSize: options.maxHeaderBytes ?? defaultMaxHeaderBytes,
+        headersTimeout: Math.min(headersTimeoutMs, options.requestTimeoutMs),
+        requestTimeout: options.requestTimeoutMs,
+        keepAliveTimeout: options.idleTimeoutMs ?? defaultIdleTimeoutMs,
+        noDelay: true,
+    }, (request, response) => {
+        accept(request, response);
         options.handle(request, response);
     });
+    const { handleExpectation } = options;
+    if (handleExpectation !== undefined) {
+        server.on("checkContinue", (request: IncomingMessage, response: ServerResponse) => {
+            accept(request, response);
+            handleExpectation(request, response);
+        });
+    }
     server.maxConnections = options.maxConnections;
     server.on("clientError", (_error, socket) => {
         if (!openResponses.mayRefuse(socket)) {
@@ -65,6 +83,9 @@
         server.listen(options.port, options.host, () => {
             resolve({
                 address: formatAddress(server),
+                setIdleTimeout: idleTimeoutMs => {
+                    server.keepAliveTimeout = idleTimeoutMs;
+                },
                 announceStop: () => {
                     stopping = true;
                 },
--- /dev/null
+++ b/transport/forwarding/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./messageHeaders";
+export * from "./peerClient";
--- /dev/null
+++ b/transport/forwarding/src/messageHeaders.ts
@@ -0,0 +1,34 @@
+/**
+ * Headers that concern one connection only and are not passed on.
+ */
+import type { IncomingHttpHeaders } from "node:http";
+
+const connectionHeaders: ReadonlySet<string> = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "transfer-encoding",
+    "te",
+    "trailer",
+    "upgrade",
+]);
+
+/** Headers of a message that is passed on. */
+export type PassedHeaders = Record<string, string | string[]>;
+
+/** Copies the headers that are passed on, without those that `isDropped` names. */
+export function copyHeaders(received: IncomingHttpHeaders, isDropped: (name: string) => boolean): PassedHeaders {
+    const listed = listConnectionHeaders(received.connection);
+    const headers: PassedHeaders = {};
+    for (const [name, value] of Object.entries(received)) {
+        if (value !== undefined && !connectionHeaders.has(name) && !listed.includes(name) && !isDropped(name)) {
+            headers[name] = value;
+        }
+    }
+    return headers;
+}
+
+/** The `Connection` header may name further headers that concern the connection only. */
+function listConnectionHeaders(connection: string | undefined): readonly string[] {
+    return connection === undefined ? [] : connection.toLowerCase().split(",").map(name => name.trim());
+}
--- a/transport/store/src/exchange.ts
+++ b/transport/store/src/exchange.ts
@@ -35,7 +35,7 @@
     readonly agent: Agent;
     readonly host: string;
     readonly port: number;
-    readonly method: "GET" | "PUT" | "DELETE";
+    readonly method: "GET" | "POST" | "PUT" | "DELETE";
     readonly path: string;
     readonly headers?: Readonly<Record<string, string>>;
     readonly body?: string;
--- a/transport/store/src/index.ts
+++ b/transport/store/src/index.ts
@@ -1,1 +1,2 @@
+export * from "./exchange";
 export * from "./httpStore";
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -3,8 +3,8 @@
 
 export default defineConfig({
     test: {
-        include: ["*/*/test/**/*.test.ts", "bench/test/**/*.test.ts"],
-        exclude: ["**/node_modules/**", "**/dist/**"],
+        include: ["*/*/test/**/*.test.ts", "bench/test/**/*.test.ts", "platform/test/**/*.test.ts"],
+        exclude: ["**/node_modules/**", "**/dist/**", "**/target/**"],
         testTimeout: 60_000,
         hookTimeout: 60_000,
         maxWorkers: 4,
