--- a/daemons/sidecar/src/calls/callerCall.ts
+++ b/daemons/sidecar/src/calls/callerCall.ts
@@ -14,27 +14,10 @@
 import { assertNever } from "@bilberrycroft/core.errors";
 import type { EventLog } from "@bilberrycroft/core.eventLog";
 import { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
-import {
-    formatOffer,
-    formatStateMark,
-    type Offer,
-    OfferHeader,
-    parseStateMark,
-    parseTargetLoad,
-    type StateMark,
-} from "@bilberrycroft/protocol.forwarding";
-import { streamAnswer } from "@bilberrycroft/transport.calls";
-import type { OfferInProgress, PassedHeaders, PeerClient } from "@bilberrycroft/transport.forwarding";
-import {
-    type BufferedAnswer,
-    classifyAnswer,
-    createAnswerHeaders,
-    isTooLargeToBuffer,
-    readAnswer,
-    readOfferEnd,
-    sendAnswer,
-} from "./offerAnswer";
+import type { AnswerHead, NodeReport, Offer, PassedHeaders, Refusal, StateMark } from "@bilberrycroft/protocol.forwarding";
+import type { OfferInProgress, PeerClient } from "@bilberrycroft/transport.forwarding";
 import type { CallHeaderCodec } from "../ports";
+import { IncomingAnswer } from "./incomingAnswer";
 import { sendOwnResponse } from "./ownResponses";
 
 /** What all calls of a node share. */
@@ -65,6 +48,8 @@
     readonly deadlineAt: Milliseconds;
     /** Time within which another node has to respond to an offer. */
     readonly acknowledgeMs: Milliseconds;
+    /** A large answer is expected. */
+    readonly isBulk: boolean;
     readonly offer: Pick<Offer, "route" | "priority" | "isInner" | "repeatable" | "callerService" | "callId" | "fingerprint">;
 }
 
@@ -86,16 +71,17 @@
     readonly target: string;
     readonly offeredAt: Milliseconds;
     isGranted: boolean;
+    answer: IncomingAnswer | undefined;
     acknowledgeTimer: NodeJS.Timeout | undefined;
 }
 
 /** One call in progress. */
 export class CallerCall {
     private readonly attempts = new Map<number, AttemptState>();
-    private readonly answers = new Map<number, BufferedAnswer>();
+    private readonly answers = new Map<number, IncomingAnswer>();
     private readonly targets = new Map<number, string>();
     private readonly timers = new Set<NodeJS.Timeout>();
-    private isStreaming = false;
+    private streaming: AttemptState | undefined;
     private finish: (end: CallEnd) => void = () => undefined;
 
     constructor(
@@ -115,7 +101,14 @@
     }
 
     private callerClosed(): void {
-        if (!this.call.response.writableFinished && !this.plan.ended) {
+        if (this.call.response.writableFinished) {
+            return;
+        }
+        if (this.streaming !== undefined) {
+            this.streaming.handle.withdraw();
+            this.end(endWithoutAnswer(CallOutcome.Unknown, undefined));
+        }
+        else if (!this.plan.ended) {
             this.perform(this.plan.callerLeft());
             this.end(endWithoutAnswer(CallOutcome.Unknown, undefined));
         }
@@ -155,25 +148,33 @@
         const { attempt, candidate, spareOnly } = action;
         const { call, services } = this;
         const now = services.clock.now();
-        const headers = formatOffer({
-            ...call.offer,
-            target: candidate.target,
-            deadlineMs: call.deadlineAt - now,
-            objectiveMs: call.objectiveAt - now,
-            spareOnly,
-            bodyBytes: call.hasBody ? call.body.length : undefined,
-        });
         services.directory.offered(candidate.node, this.offerKey(attempt));
         this.targets.set(attempt, candidate.target);
         const handle = services.client.offer({
             address: candidate.address,
-            method: call.request.method ?? "GET",
-            path: call.request.url ?? "/",
-            headers: { ...call.headers, ...headers, [OfferHeader.State]: formatStateMark(services.stateMark()) },
+            isBulk: call.isBulk,
+            message: {
+                offer: {
+                    ...call.offer,
+                    target: candidate.target,
+                    deadlineMs: Math.max(1, Math.floor(call.deadlineAt - now)),
+                    objectiveMs: Math.floor(call.objectiveAt - now),
+                    spareOnly,
+                    bodyBytes: call.hasBody ? call.body.length : undefined,
+                },
+                method: call.request.method ?? "GET",
+                path: call.request.url ?? "/",
+                headers: call.headers,
+                state: services.stateMark(),
+            },
             observer: {
                 queued: () => this.queued(attempt),
                 granted: () => this.granted(attempt),
-                responded: response => void this.responded(attempt, response),
+                refused: refusal => this.refused(attempt, refusal),
+                lost: ({ report }) => this.lost(attempt, report),
+                answerStarted: head => this.answerStarted(attempt, head),
+                answerData: data => this.answerData(attempt, data),
+                answerEnded: () => this.answerEnded(attempt),
                 broken: reason => this.broken(attempt, reason),
             },
         });
@@ -184,6 +185,7 @@
             target: candidate.target,
             offeredAt: now,
             isGranted: false,
+            answer: undefined,
             acknowledgeTimer: setTimeout(() => this.notAcknowledged(attempt), call.acknowledgeMs),
         });
     }
@@ -232,68 +234,72 @@
     /** The body was not sent, so the call can not have run there. */
     private unreachable(attempt: number, state: AttemptState, reason: string): void {
         const { directory, client, log } = this.services;
-        client.dropIdleConnections(state.address);
+        client.renewConnections(state.address);
         if (directory.distrust(state.node)) {
             log.warn("node-distrusted", { ...this.attemptFields(state), reason });
         }
         this.endAttempt(attempt, { kind: AttemptEndKind.Unreachable });
     }
 
-    private async responded(attempt: number, response: IncomingMessage): Promise<void> {
-        const state = this.acknowledged(attempt);
-        if (state === undefined) {
-            response.resume();
-            return;
+    private refused(attempt: number, { reason, retryAfterMs, report }: Refusal): void {
+        const state = this.reported(attempt, report);
+        const kind = state?.isGranted === true ? AttemptEndKind.NotRun : AttemptEndKind.Refused;
+        this.endAttempt(attempt, { kind, reason, retryAfterMs });
+    }
+
+    private lost(attempt: number, report: NodeReport): void {
+        this.reported(attempt, report);
+        this.endAttempt(attempt, { kind: AttemptEndKind.Lost });
+    }
+
+    private answerStarted(attempt: number, head: AnswerHead): void {
+        const state = this.reported(attempt, head.report);
+        if (state !== undefined) {
+            state.answer = new IncomingAnswer(head);
         }
-        this.readState(state, response);
-        const end = readOfferEnd(response, state.isGranted);
-        if (end !== undefined) {
-            response.resume();
-            this.endAttempt(attempt, end);
+    }
+
+    private answerData(attempt: number, data: Buffer): void {
+        const state = this.attempts.get(attempt);
+        const { answer } = state ?? {};
+        if (state === undefined || answer === undefined) {
             return;
         }
-        if (isTooLargeToBuffer(response)) {
-            return this.passOn(attempt, state, response);
-        }
-        const answer = await readAnswer(response);
-        if (answer === undefined) {
-            this.services.log.warn("answer-lost", { ...this.attemptFields(state), reason: "answer was cut" });
-            this.endAttempt(attempt, { kind: AttemptEndKind.Lost });
+        if (!answer.add(data)) {
+            this.call.response.destroy();
             return;
         }
-        this.answers.set(attempt, answer);
-        this.endAttempt(attempt, classifyAnswer(answer));
+        if (answer.isLarge && this.streaming === undefined && !this.plan.ended) {
+            // From here on no other attempt can answer the call.
+            this.streaming = state;
+            answer.stream(this.call.response);
+            this.perform(this.plan.attemptEnded(attempt, { kind: AttemptEndKind.Answered }));
+        }
     }
 
-    /** Passes a large answer on while it arrives. From its head on, no other attempt can answer the call. */
-    private async passOn(attempt: number, state: AttemptState, incoming: IncomingMessage): Promise<void> {
-        const { response } = this.call;
-        if (this.plan.ended) {
-            state.handle.withdraw();
-            return;
+    private answerEnded(attempt: number): void {
+        const state = this.attempts.get(attempt);
+        if (state?.answer === undefined) {
+            return this.endAttempt(attempt, { kind: AttemptEndKind.Lost });
         }
-        this.isStreaming = true;
-        response.writeHead(incoming.statusCode ?? 0, createAnswerHeaders(incoming));
-        this.endAttempt(attempt, { kind: AttemptEndKind.Answered });
-        const { complete } = await streamAnswer(incoming, response);
-        this.end({
-            outcome: complete ? CallOutcome.Done : CallOutcome.Unknown,
-            reason: undefined,
-            status: incoming.statusCode,
-            target: state.target,
-            answerBytes: Number(incoming.headers["content-length"] ?? 0),
+        this.answers.set(attempt, state.answer);
+        if (this.streaming === state) {
+            this.forget(attempt, state);
+            return this.deliver(attempt, state.answer);
+        }
+        const { status } = state.answer.head;
+        this.endAttempt(attempt, {
+            kind: status >= firstServerErrorStatus ? AttemptEndKind.Failed : AttemptEndKind.Answered,
         });
     }
 
-    private readState(state: AttemptState, response: IncomingMessage): void {
-        const load = parseTargetLoad(response.headers[OfferHeader.Load]);
-        if (load !== undefined) {
-            this.services.directory.loadHeard(state.node, load, this.call.route);
-        }
-        const mark = parseStateMark(response.headers[OfferHeader.State]);
-        if (mark !== undefined) {
-            this.services.stateHeard(mark);
+    private reported(attempt: number, report: NodeReport): AttemptState | undefined {
+        const state = this.acknowledged(attempt);
+        if (state !== undefined) {
+            this.services.directory.loadHeard(state.node, report.load, this.call.route);
+            this.services.stateHeard(report.state);
         }
+        return state;
     }
 
     private endAttempt(attempt: number, end: AttemptEnd): void {
@@ -301,9 +307,12 @@
         if (state === undefined) {
             return;
         }
-        this.attempts.delete(attempt);
-        clearTimeout(state.acknowledgeTimer);
-        this.services.directory.ended(state.node, this.offerKey(attempt));
+        this.forget(attempt, state);
+        if (this.streaming === state) {
+            // A part of the answer has left; closing tells the caller that the rest is missing.
+            this.call.response.destroy();
+            return this.end(endWithoutAnswer(CallOutcome.Unknown, CallReason.AnswerLost));
+        }
         if (end.kind !== AttemptEndKind.Answered) {
             const reason = "reason" in end ? end.reason : undefined;
             this.services.log.info("attempt-ended", { ...this.attemptFields(state), outcome: end.kind, reason });
@@ -313,29 +322,33 @@
 
     private withdraw(attempt: number): void {
         const state = this.attempts.get(attempt);
-        if (state !== undefined) {
-            this.attempts.delete(attempt);
-            clearTimeout(state.acknowledgeTimer);
-            this.services.directory.ended(state.node, this.offerKey(attempt));
+        if (state !== undefined && state !== this.streaming) {
+            this.forget(attempt, state);
             state.handle.withdraw();
         }
     }
 
+    private forget(attempt: number, state: AttemptState): void {
+        this.attempts.delete(attempt);
+        clearTimeout(state.acknowledgeTimer);
+        this.services.directory.ended(state.node, this.offerKey(attempt));
+    }
+
     private answer(attempt: number): void {
-        if (this.isStreaming) {
-            return;
-        }
         const answer = this.answers.get(attempt);
-        if (answer === undefined) {
-            return this.respondOwn(CallOutcome.Unknown, CallReason.AnswerLost, undefined);
+        if (answer !== undefined) {
+            this.deliver(attempt, answer);
         }
-        sendAnswer(this.call.response, this.call.request.method, answer);
+    }
+
+    private deliver(attempt: number, answer: IncomingAnswer): void {
+        answer.deliver(this.call.response, this.call.request.method);
         this.end({
             outcome: CallOutcome.Done,
             reason: undefined,
-            status: answer.status,
+            status: answer.head.status,
             target: this.targets.get(attempt),
-            answerBytes: answer.body.length,
+            answerBytes: answer.bytes,
         });
     }
 
@@ -384,6 +397,7 @@
     }
 }
 
+const firstServerErrorStatus = 500;
 /** A caller waits for at most a third of the time that it has left. */
 const retryAfterPart = 3;
 
--- a/daemons/sidecar/src/calls/targetCall.ts
+++ b/daemons/sidecar/src/calls/targetCall.ts
@@ -1,23 +1,14 @@
 /**
  * Runs one granted call at the target beside this node and passes its answer on to the caller's node.
  */
-import type { IncomingMessage, ServerResponse } from "node:http";
 import { RunResult } from "@bilberrycroft/coordination.forwarding";
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import { assertNever } from "@bilberrycroft/core.errors";
 import type { EventLog } from "@bilberrycroft/core.eventLog";
-import { CallHeader, CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
-import { meshHeaders, type Offer } from "@bilberrycroft/protocol.forwarding";
-import {
-    type Attempt,
-    type AttemptEvent,
-    AttemptEventKind,
-    BodyOutcomeKind,
-    readBody,
-    streamAnswer,
-    type TargetClient,
-} from "@bilberrycroft/transport.calls";
-import { copyHeaders, type PassedHeaders } from "@bilberrycroft/transport.forwarding";
+import { CallReason } from "@bilberrycroft/protocol.calls";
+import type { NodeReport } from "@bilberrycroft/protocol.forwarding";
+import { type Attempt, type AttemptEvent, AttemptEventKind, type TargetClient } from "@bilberrycroft/transport.calls";
+import { copyHeaders, type IncomingOffer } from "@bilberrycroft/transport.forwarding";
 import type { CallHeaderCodec } from "../ports";
 
 /** What all calls to the target share. */
@@ -28,10 +19,8 @@
     readonly log: EventLog;
     /** `host:port` of the target. */
     readonly targetAddress: string;
-    /** Headers that each response of this node to an offer carries. */
-    createStateHeaders(route: string): PassedHeaders;
-    /** Refuses an offer: the target did not run the call. */
-    refuse(response: ServerResponse, route: string, reason: CallReason, retryAfterMs: Milliseconds): void;
+    /** Report that goes with each response. */
+    report(route: string): NodeReport;
     /** The target answered. */
     targetAnswered(): void;
     /** Nothing listens at the target's address. */
@@ -51,18 +40,13 @@
 
 /** A granted call with its body. */
 export interface GrantedCall {
-    readonly request: IncomingMessage;
-    readonly response: ServerResponse;
-    readonly offer: Offer;
+    readonly incoming: IncomingOffer;
     readonly body: Buffer;
     readonly deadlineAt: Milliseconds;
 }
 
 type AnswerEvent = Extract<AttemptEvent, { kind: AttemptEventKind.Responded }>;
 
-/** An answer up to this size is passed on whole. */
-const longestWholeBytes = 65_536;
-const unknownStatus = 502;
 const firstServerErrorStatus = 500;
 const firstSuccessStatus = 200;
 const firstRedirectStatus = 300;
@@ -77,11 +61,11 @@
 
     /** Sends the call and resolves when its answer is passed on or lost. */
     async run(): Promise<RunResult> {
-        const { request, offer, body, deadlineAt } = this.call;
+        const { incoming, body, deadlineAt } = this.call;
+        const { offer, method, path } = incoming.message;
         const { clock, client, codec, targetAddress } = this.services;
         this.sentAt = clock.now();
-        const passed = copyHeaders(request.headers, name => meshHeaders.has(name));
-        const headers = codec.createTargetHeaders(passed, {
+        const headers = codec.createTargetHeaders(incoming.message.headers, {
             callId: offer.callId,
             target: offer.target,
             callerService: offer.callerService,
@@ -92,8 +76,8 @@
         }
         this.attempt = client.send({
             address: targetAddress,
-            method: request.method ?? "GET",
-            path: request.url ?? "/",
+            method,
+            path,
             headers,
             body,
             freshConnection: !offer.repeatable,
@@ -112,7 +96,6 @@
 
     private async takeEvent(event: AttemptEvent): Promise<RunResult> {
         const { services, call } = this;
-        const { route } = call.offer;
         switch (event.kind) {
             case AttemptEventKind.Responded:
                 return this.takeAnswer(event);
@@ -121,13 +104,13 @@
                     services.connectionRefused();
                 }
                 this.log("target-not-connected", event.reason);
-                services.refuse(call.response, route, CallReason.NoTarget, 0);
+                this.refuse(CallReason.NoTarget);
                 return RunResult.Broken;
             case AttemptEventKind.Broken:
                 this.broke(event.reason);
                 return RunResult.Broken;
             case AttemptEventKind.Cancelled:
-                this.respondUnknown(CallReason.TimedOut);
+                this.lose(CallReason.TimedOut);
                 return services.clock.now() >= call.deadlineAt ? RunResult.Broken : RunResult.Cancelled;
             default:
                 return assertNever(event);
@@ -135,99 +118,88 @@
     }
 
     private async takeAnswer(event: AnswerEvent): Promise<RunResult> {
-        const { services, call } = this;
-        const { offer, response } = call;
+        const { services } = this;
+        const { offer } = this.call.incoming.message;
         const head = services.codec.readTargetAnswer(event.status, event.headers);
         services.targetAnswered();
         if (head.callId !== undefined && head.callId !== offer.callId) {
             // An answer to an earlier call: the connection carries answers that belong to no call of ours.
             event.response.destroy();
             this.log("answer-of-another-call", head.callId);
-            this.respondUnknown(CallReason.AnswerLost);
+            this.lose(CallReason.AnswerLost);
             return RunResult.Broken;
         }
         if (head.isNotRun) {
             event.response.resume();
             this.log("target-refused", String(event.status));
-            services.refuse(response, offer.route, CallReason.TargetRefused, 0);
+            this.refuse(CallReason.TargetRefused);
             return RunResult.Shed;
         }
         const isSuccess = event.status >= firstSuccessStatus && event.status < firstRedirectStatus;
         if (head.isEncoded || (isSuccess && (!head.isSigned || head.callId === undefined))) {
             event.response.destroy();
             this.log("answer-not-signed", String(event.status));
-            this.respondUnknown(CallReason.AnswerLost);
+            this.lose(CallReason.AnswerLost);
             return RunResult.Broken;
         }
-        const isComplete = isSmall(event) ? await this.passOnWhole(event) : await this.passOnStreamed(event);
-        if (!isComplete) {
+        if (!await this.passOn(event)) {
             this.log("answer-cut", String(event.status));
+            this.lose(CallReason.AnswerLost);
             return this.isCancelled ? RunResult.Cancelled : RunResult.Broken;
         }
         return event.status >= firstServerErrorStatus ? RunResult.Failed : RunResult.Answered;
     }
 
-    /** One write for head and body; a stream for each of them would cost more than the call itself. */
-    private async passOnWhole(event: AnswerEvent): Promise<boolean> {
-        const body = await readBody(event.response, longestWholeBytes);
-        if (body.kind !== BodyOutcomeKind.Complete || !event.response.complete) {
-            this.respondUnknown(CallReason.AnswerLost);
-            return false;
+    /** Passes the answer on as it arrives; whether all of it did. */
+    private async passOn({ status, headers, response }: AnswerEvent): Promise<boolean> {
+        const { incoming } = this.call;
+        incoming.startAnswer({
+            status,
+            headers: copyHeaders(headers, () => false),
+            report: this.services.report(incoming.message.offer.route),
+        });
+        const isComplete = await new Promise<boolean>(resolve => {
+            response.on("data", (data: Buffer) => {
+                if (!incoming.write(data)) {
+                    response.pause();
+                    void incoming.drained().then(() => response.resume());
+                }
+            });
+            response.on("end", () => resolve(response.complete));
+            response.on("close", () => resolve(false));
+        });
+        if (isComplete) {
+            incoming.end();
         }
-        this.call.response.writeHead(event.status, this.createAnswerHeaders(event));
-        this.call.response.end(body.body);
-        return true;
-    }
-
-    private async passOnStreamed(event: AnswerEvent): Promise<boolean> {
-        this.call.response.writeHead(event.status, this.createAnswerHeaders(event));
-        const { complete } = await streamAnswer(event.response, this.call.response);
-        return complete;
-    }
-
-    private createAnswerHeaders(event: AnswerEvent): PassedHeaders {
-        return {
-            ...copyHeaders(event.headers, name => meshHeaders.has(name)),
-            ...this.services.createStateHeaders(this.call.offer.route),
-            [CallHeader.Outcome]: CallOutcome.Done,
-        };
+        return isComplete;
     }
 
     private broke(reason: string): void {
-        const { services, call } = this;
+        const { services } = this;
+        const { offer } = this.call.incoming.message;
         this.log("target-connection-broke", reason);
         services.connectionBroke({
-            callId: call.offer.callId,
-            fingerprint: call.offer.fingerprint,
-            target: call.offer.target,
+            callId: offer.callId,
+            fingerprint: offer.fingerprint,
+            target: offer.target,
             ageMs: services.clock.now() - this.sentAt,
         });
-        this.respondUnknown(CallReason.AnswerLost);
+        this.lose(CallReason.AnswerLost);
     }
 
-    private respondUnknown(reason: CallReason): void {
-        const { response, offer } = this.call;
-        if (response.headersSent || response.destroyed) {
-            response.destroy();
-            return;
-        }
-        response.writeHead(unknownStatus, {
-            ...this.services.createStateHeaders(offer.route),
-            [CallHeader.Outcome]: CallOutcome.Unknown,
-            [CallHeader.Reason]: reason,
-        });
-        response.end();
+    private refuse(reason: CallReason): void {
+        const { incoming } = this.call;
+        incoming.refuse({ reason, retryAfterMs: 0, report: this.services.report(incoming.message.offer.route) });
+    }
+
+    private lose(reason: CallReason): void {
+        const { incoming } = this.call;
+        incoming.lose({ reason, report: this.services.report(incoming.message.offer.route) });
     }
 
     private log(event: string, detail: string): void {
-        const { offer } = this.call;
+        const { offer } = this.call.incoming.message;
         const ageMs = Math.round(this.services.clock.now() - this.sentAt);
         this.services.log.info(event, { call: offer.callId, route: offer.route, target: offer.target, ageMs, detail });
     }
 }
-
-/** Whether the answer declares a size that is passed on whole. */
-function isSmall(event: AnswerEvent): boolean {
-    const declared = event.headers["content-length"];
-    return declared !== undefined && Number(declared) <= longestWholeBytes;
-}
--- a/daemons/sidecar/src/ports.ts
+++ b/daemons/sidecar/src/ports.ts
@@ -6,7 +6,7 @@
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import type { ObjectCollection } from "@bilberrycroft/protocol.store";
 import type { MeshConfiguration } from "@bilberrycroft/state.routes";
-import type { PassedHeaders } from "@bilberrycroft/transport.forwarding";
+import type { PassedHeaders } from "@bilberrycroft/protocol.forwarding";
 
 /** What a caller says of its call besides the HTTP message. */
 export interface CallerHead {
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -12,7 +12,7 @@
 import { createSeededRandom, type Random } from "@bilberrycroft/core.random";
 import { type AnnouncedCrash, type NodeEntry, parseNodeEntry, type StateMark } from "@bilberrycroft/protocol.forwarding";
 import { type Listener, splitAddress, startListener, TargetClient } from "@bilberrycroft/transport.calls";
-import { PeerClient } from "@bilberrycroft/transport.forwarding";
+import { type OfferListener, PeerClient, startOfferListener } from "@bilberrycroft/transport.forwarding";
 import { CallMetrics } from "./metrics";
 import type { MeshPlatform } from "./ports";
 import type { SidecarSettings } from "./settings";
@@ -36,8 +36,6 @@
 const maxConnections = 3_000;
 const maxHeaderBytes = 65_536;
 const requestTimeoutMs: Milliseconds = 60_000;
-/** Connections between nodes stay open between calls; the calling side closes them first. */
-const peerIdleTimeoutMs: Milliseconds = 60_000;
 /** Changes of the configuration are due within seconds; gathering them for this long saves most watches of a series. */
 const configurationGatherMs: Milliseconds = 600;
 /** A call that meets an outdated table is refused by the target's node and goes elsewhere at once. */
@@ -65,7 +63,7 @@
     private readonly target: TargetTask;
     private readonly probes: ProbeTask;
     private callerListener: Listener | undefined;
-    private offerListener: Listener | undefined;
+    private offerListener: OfferListener | undefined;
     private stopping: Promise<void> | undefined;
 
     constructor(private readonly options: SidecarOptions) {
@@ -108,14 +106,11 @@
             requestTimeoutMs,
             handle: (request, response) => this.callers.handle(request, response),
         });
-        this.offerListener = await startListener({
+        this.offerListener = await startOfferListener({
             ...splitAddress(settings.offerAddress),
             maxConnections,
-            maxHeaderBytes,
-            requestTimeoutMs,
-            idleTimeoutMs: peerIdleTimeoutMs,
-            handle: (request, response) => this.target.handle(request, response),
-            handleExpectation: (request, response) => this.target.handleOffer(request, response),
+            handle: offer => this.target.handleOffer(offer),
+            report: () => this.target.report(""),
         });
         this.target.start();
         this.probes.start();
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -14,7 +14,6 @@
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import type { Random } from "@bilberrycroft/core.random";
 import { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
-import { meshHeaders } from "@bilberrycroft/protocol.forwarding";
 import type { Route, RouteTable } from "@bilberrycroft/state.routes";
 import { BodyOutcomeKind, readBody } from "@bilberrycroft/transport.calls";
 import { copyHeaders } from "@bilberrycroft/transport.forwarding";
@@ -44,6 +43,8 @@
 const shortestAcknowledgeMs: Milliseconds = 50;
 const longestAcknowledgeMs: Milliseconds = 150;
 const noConfigurationRetryMs: Milliseconds = 300;
+/** Usual size from which a route's answers have a connection of their own. */
+const bulkBytes = 16_384;
 /** Weight of the latest answer in a route's usual size. */
 const sizeGain = 0.1;
 
@@ -159,7 +160,7 @@
         return {
             request,
             response,
-            headers: copyHeaders(request.headers, name => meshHeaders.has(name) || name === "content-length"),
+            headers: copyHeaders(request.headers, name => name === "content-length" || name === "expect"),
             body,
             hasBody,
             callId: head.callId,
@@ -168,6 +169,7 @@
             startedAt,
             objectiveAt: startedAt + route.latencyObjectiveMs,
             deadlineAt: startedAt + Math.min(route.timeoutMs, Math.max(1, waitMs - deadlineMarginMs)),
+            isBulk: (this.answerSizes.get(route.name) ?? 0) > bulkBytes,
             acknowledgeMs: Math.max(shortestAcknowledgeMs, Math.min(longestAcknowledgeMs, acknowledgeMs)),
             offer: {
                 route: route.name,
--- a/daemons/sidecar/src/tasks/probeTask.ts
+++ b/daemons/sidecar/src/tasks/probeTask.ts
@@ -4,9 +4,8 @@
 import type { TargetDirectory } from "@bilberrycroft/coordination.forwarding";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import type { EventLog } from "@bilberrycroft/core.eventLog";
-import { type NodeEntry, OfferHeader, parseTargetLoad } from "@bilberrycroft/protocol.forwarding";
+import type { NodeEntry } from "@bilberrycroft/protocol.forwarding";
 import type { PeerClient } from "@bilberrycroft/transport.forwarding";
-import { loadPath } from "./targetTask";
 
 /** Options of a `ProbeTask`. */
 export interface ProbeTaskOptions {
@@ -45,16 +44,15 @@
     private async probe({ node, address }: NodeEntry): Promise<void> {
         const { directory, client, log } = this.options;
         this.asked.add(node);
-        const response = await client.ask(address, loadPath, probeTimeoutMs);
+        const report = await client.ask(address, probeTimeoutMs);
         this.asked.delete(node);
-        const load = parseTargetLoad(response?.headers[OfferHeader.Load]);
-        if (load === undefined) {
+        if (report === undefined) {
             directory.distrust(node);
             return;
         }
-        directory.loadHeard(node, load);
+        directory.loadHeard(node, report.load);
         if (directory.isTrusted(node)) {
-            log.info("node-trusted", { node, availability: load.availability });
+            log.info("node-trusted", { node, availability: report.load.availability });
         }
     }
 }
--- a/daemons/sidecar/src/tasks/targetTask.ts
+++ b/daemons/sidecar/src/tasks/targetTask.ts
@@ -1,7 +1,6 @@
 /**
  * Takes the offers of other nodes for the target beside this node.
  */
-import type { IncomingMessage, ServerResponse } from "node:http";
 import {
     type OfferDecision,
     OfferDecisionKind,
@@ -14,20 +13,16 @@
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import { assertNever } from "@bilberrycroft/core.errors";
 import type { EventLog } from "@bilberrycroft/core.eventLog";
-import { CallHeader, CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
+import { CallReason } from "@bilberrycroft/protocol.calls";
 import {
     type AnnouncedCrash,
-    formatStateMark,
-    formatTargetLoad,
+    type NodeReport,
     type Offer,
-    OfferHeader,
-    parseOffer,
-    parseStateMark,
     type StateMark,
     TargetAvailability,
 } from "@bilberrycroft/protocol.forwarding";
-import { BodyOutcomeKind, probeListener, readBody, type TargetClient } from "@bilberrycroft/transport.calls";
-import type { PassedHeaders } from "@bilberrycroft/transport.forwarding";
+import { probeListener, type TargetClient } from "@bilberrycroft/transport.calls";
+import type { IncomingOffer } from "@bilberrycroft/transport.forwarding";
 import { type BrokenConnection, TargetCall, type TargetServices } from "../calls/targetCall";
 import type { CallHeaderCodec } from "../ports";
 
@@ -47,17 +42,8 @@
     targetCrashed(crashes: readonly AnnouncedCrash[]): void;
 }
 
-/** Path at which other nodes ask for the load without a call. */
-export const loadPath = "/mesh/load";
-
-const statusOk = 200;
-const notRunStatus = 503;
-const malformedStatus = 400;
-const notFoundStatus = 404;
 /** A granted call whose body does not arrive within this time gives its slot back. */
 const longestBodyWaitMs: Milliseconds = 500;
-/** Largest body; the caller's node checks the operator's bound. */
-const maxBodyBytes = 67_108_864;
 /** The availability is looked at this often; a target that goes silent is noticed by its calls long before. */
 const beliefTickMs: Milliseconds = 500;
 /** Expired calls are refused this often while calls wait. */
@@ -66,10 +52,10 @@
 const crashProbeDelayMs: Milliseconds = 20;
 
 interface PendingOffer {
-    readonly offer: Offer;
-    readonly request: IncomingMessage;
-    readonly response: ServerResponse;
+    readonly incoming: IncomingOffer;
     readonly deadlineAt: Milliseconds;
+    /** Set while a granted call waits for its body. */
+    bodyTimer: NodeJS.Timeout | undefined;
 }
 
 /** Offers and running calls of one target. */
@@ -91,8 +77,7 @@
             codec,
             log,
             targetAddress,
-            createStateHeaders: route => this.createStateHeaders(route),
-            refuse: (response, route, reason, retryAfterMs) => this.refuse(response, route, reason, retryAfterMs),
+            report: route => this.report(route),
             targetAnswered: () => target.answered(),
             connectionRefused: () => {
                 target.connectionRefused();
@@ -136,37 +121,27 @@
         }
     }
 
-    /** Handles a request that expects no continuation, which is no offer. */
-    handle(request: IncomingMessage, response: ServerResponse): void {
-        request.resume();
-        this.hearState(request);
-        const isLoad = request.method === "GET" && request.url === loadPath;
-        response.writeHead(isLoad ? statusOk : notFoundStatus, this.createStateHeaders(""));
-        response.end();
+    /** What this node tells of itself. */
+    report(route: string): NodeReport {
+        return { load: this.options.queue.load(route), state: this.options.stateMark() };
     }
 
     /** Handles an offer. */
-    handleOffer(request: IncomingMessage, response: ServerResponse): void {
-        const offer = parseOffer(request.headers);
-        this.hearState(request);
-        if (offer === undefined) {
-            this.options.log.warn("offer-malformed", { path: request.url });
-            request.resume();
-            response.writeHead(malformedStatus, { [CallHeader.Outcome]: CallOutcome.NotRun });
-            response.end();
-            return;
-        }
+    handleOffer(incoming: IncomingOffer): void {
+        const { offer, state } = incoming.message;
+        this.options.stateHeard(state);
         const reason = this.findObstacle(offer);
         if (reason !== undefined) {
-            request.resume();
-            this.refuse(response, offer.route, reason, 0);
-            return;
+            return this.refuse(incoming, reason, 0);
         }
         const now = this.options.clock.now();
         const key = `${offer.callId} ${++this.offerCount}`;
         const deadlineAt = now + offer.deadlineMs;
-        this.pending.set(key, { offer, request, response, deadlineAt });
-        response.on("close", () => this.callerClosed(key));
+        this.pending.set(key, { incoming, deadlineAt, bodyTimer: undefined });
+        incoming.observe({
+            proceeded: body => this.proceeded(key, body),
+            withdrawn: () => this.withdrawn(key),
+        });
         this.decide(this.options.queue.offer({
             callId: key,
             route: offer.route,
@@ -189,7 +164,7 @@
     private decide(decision: OfferDecision): void {
         switch (decision.kind) {
             case OfferDecisionKind.Queued:
-                this.pending.get(decision.callId)?.response.writeProcessing();
+                this.pending.get(decision.callId)?.incoming.queue();
                 return this.scheduleExpiry();
             case OfferDecisionKind.Granted:
             case OfferDecisionKind.Refused:
@@ -206,34 +181,45 @@
                 continue;
             }
             if (event.kind === OfferDecisionKind.Granted) {
-                void this.carry(event.callId, pending);
+                this.grant(event.callId, pending);
             }
             else {
                 this.pending.delete(event.callId);
-                pending.request.resume();
-                this.refuse(pending.response, pending.offer.route, event.reason, event.retryAfterMs);
+                this.refuse(pending.incoming, event.reason, event.retryAfterMs);
             }
         }
     }
 
-    private async carry(key: string, pending: PendingOffer): Promise<void> {
-        const { request, response, offer, deadlineAt } = pending;
-        const body = readBody(request, maxBodyBytes);
-        response.writeContinue();
-        const timer = setTimeout(() => request.destroy(), longestBodyWaitMs);
-        const outcome = await body;
-        clearTimeout(timer);
-        this.pending.delete(key);
-        if (outcome.kind !== BodyOutcomeKind.Complete || response.destroyed) {
-            response.destroy();
-            return this.finished(key, RunResult.Cancelled);
+    private grant(key: string, pending: PendingOffer): void {
+        pending.bodyTimer = setTimeout(() => {
+            this.pending.delete(key);
+            this.refuse(pending.incoming, CallReason.DeadlinePassed, 0);
+            this.finished(key, RunResult.Cancelled);
+        }, longestBodyWaitMs);
+        pending.incoming.grant();
+    }
+
+    private proceeded(key: string, body: Buffer): void {
+        const pending = this.pending.get(key);
+        if (pending?.bodyTimer === undefined) {
+            return;
         }
-        const call = new TargetCall({ request, response, offer, body: outcome.body, deadlineAt }, this.services);
-        response.on("close", () => {
-            // A call that may not be repeated runs to its end: its effect is wanted even if the caller has left.
-            if (!response.writableFinished && offer.repeatable) {
-                call.cancel();
-            }
+        clearTimeout(pending.bodyTimer);
+        this.pending.delete(key);
+        void this.carry(key, pending, body);
+    }
+
+    private async carry(key: string, { incoming, deadlineAt }: PendingOffer, body: Buffer): Promise<void> {
+        const { offer } = incoming.message;
+        const call = new TargetCall({ incoming, body, deadlineAt }, this.services);
+        incoming.observe({
+            proceeded: () => undefined,
+            withdrawn: () => {
+                // A call that may not be repeated runs to its end: its effect is wanted even if the caller has left.
+                if (offer.repeatable) {
+                    call.cancel();
+                }
+            },
         });
         const result = await call.run();
         if (result === RunResult.Answered) {
@@ -246,11 +232,19 @@
         this.follow(this.options.queue.finished(key, result));
     }
 
-    private callerClosed(key: string): void {
-        const isWaiting = this.pending.delete(key);
-        if (isWaiting) {
+    private withdrawn(key: string): void {
+        const pending = this.pending.get(key);
+        if (pending === undefined) {
+            return;
+        }
+        this.pending.delete(key);
+        if (pending.bodyTimer === undefined) {
             this.options.queue.cancelled(key);
         }
+        else {
+            clearTimeout(pending.bodyTimer);
+            this.finished(key, RunResult.Cancelled);
+        }
     }
 
     private scheduleExpiry(): void {
@@ -263,32 +257,9 @@
         }
     }
 
-    private refuse(response: ServerResponse, route: string, reason: CallReason, retryAfterMs: Milliseconds): void {
-        if (response.headersSent || response.destroyed) {
-            response.destroy();
-            return;
-        }
-        response.writeHead(notRunStatus, {
-            ...this.createStateHeaders(route),
-            [CallHeader.Outcome]: CallOutcome.NotRun,
-            [CallHeader.Reason]: reason,
-            [OfferHeader.RetryAfterMs]: String(Math.ceil(retryAfterMs)),
-        });
-        response.end();
-    }
-
-    private createStateHeaders(route: string): PassedHeaders {
-        return {
-            [OfferHeader.Load]: formatTargetLoad(this.options.queue.load(route)),
-            [OfferHeader.State]: formatStateMark(this.options.stateMark()),
-        };
-    }
-
-    private hearState(request: IncomingMessage): void {
-        const mark = parseStateMark(request.headers[OfferHeader.State]);
-        if (mark !== undefined) {
-            this.options.stateHeard(mark);
-        }
+    private refuse(incoming: IncomingOffer, reason: CallReason, retryAfterMs: Milliseconds): void {
+        const { route } = incoming.message.offer;
+        incoming.refuse({ reason, retryAfterMs: Math.ceil(retryAfterMs), report: this.report(route) });
     }
 
     private connectionBroke(broken: BrokenConnection): void {
--- a/protocol/forwarding/src/index.ts
+++ b/protocol/forwarding/src/index.ts
@@ -1,3 +1,4 @@
-export * from "./headers";
-export * from "./targetLoad";
+export * from "./frames";
+export * from "./messages";
 export * from "./targetEntry";
+export * from "./targetLoad";
--- a/protocol/forwarding/src/targetEntry.ts
+++ b/protocol/forwarding/src/targetEntry.ts
@@ -2,6 +2,7 @@
  * What a node announces of itself and of its target in the platform store.
  */
 import type { Milliseconds } from "@bilberrycroft/core.clock";
+import { isNumber, isRecord, isText } from "./unchecked";
 
 /** Phases of a target's life, as it announces them. */
 export enum TargetPhase {
@@ -84,15 +85,3 @@
     const isValid = isText(fingerprint) && isText(target) && isNumber(at) && isNumber(startedAt);
     return isValid ? [{ fingerprint, target, at, startedAt }] : [];
 }
-
-function isRecord(value: unknown): value is Record<string, unknown> {
-    return typeof value === "object" && Boolean(value) && !Array.isArray(value);
-}
-
-function isText(value: unknown): value is string {
-    return typeof value === "string" && value.length > 0;
-}
-
-function isNumber(value: unknown): value is number {
-    return typeof value === "number" && Number.isFinite(value);
-}
--- a/protocol/forwarding/src/targetLoad.ts
+++ b/protocol/forwarding/src/targetLoad.ts
@@ -1,7 +1,8 @@
 /**
- * Load of a target as its node reports it with each answer.
+ * Load of a target as its node reports it with each response.
  */
 import type { Milliseconds } from "@bilberrycroft/core.clock";
+import { isNumber, isRecord } from "./unchecked";
 
 /** Whether a target takes calls. */
 export enum TargetAvailability {
@@ -28,38 +29,24 @@
     readonly failureShare: number;
 }
 
-const percent = 100;
+const availabilities: ReadonlySet<unknown> = new Set(Object.values(TargetAvailability));
 
-/** Formats the load header. */
-export function formatTargetLoad(load: TargetLoad): string {
-    return [
-        load.availability,
-        load.running,
-        load.queued,
-        load.slots,
-        Math.round(load.runTimeMs),
-        Math.round(load.meanRunTimeMs),
-        Math.round(load.failureShare * percent),
-    ].join(",");
-}
-
-const loadPattern = /^(serving|leaving|down),(\d{1,6}),(\d{1,6}),(\d{1,6}),(\d{1,7}),(\d{1,7}),(\d{1,3})$/;
-
-/** Parses the load header; anything malformed counts as no report. */
-export function parseTargetLoad(header: string | string[] | undefined): TargetLoad | undefined {
-    const match = typeof header === "string" ? loadPattern.exec(header) : undefined;
-    if (match === undefined || match?.[1] === undefined) {
+/** Reads a load that another process wrote; `undefined` if a figure is missing. */
+export function parseTargetLoad(value: unknown): TargetLoad | undefined {
+    if (!isRecord(value) || !availabilities.has(value.availability)) {
         return undefined;
     }
-    const figures = match.slice(2).map(Number);
-    const [running = 0, queued = 0, slots = 0, runTimeMs = 0, meanRunTimeMs = 0, failures = 0] = figures;
-    return {
-        availability: match[1] as TargetAvailability,
-        running,
-        queued,
-        slots,
-        runTimeMs,
-        meanRunTimeMs,
-        failureShare: Math.min(1, failures / percent),
-    };
+    const { running, queued, slots, runTimeMs, meanRunTimeMs, failureShare } = value;
+    return isNumber(running) && isNumber(queued) && isNumber(slots) && isNumber(runTimeMs)
+        && isNumber(meanRunTimeMs) && isNumber(failureShare)
+        ? {
+                availability: value.availability as TargetAvailability,
+                running,
+                queued,
+                slots,
+                runTimeMs,
+                meanRunTimeMs,
+                failureShare,
+            }
+        : undefined;
 }
--- a/transport/calls/src/listener.ts
+++ b/transport/calls/src/listener.ts
@@ -24,8 +24,6 @@
     /** Time after which an idle connection is closed; 30 s by default. */
     readonly idleTimeoutMs?: Milliseconds;
     handle(request: IncomingMessage, response: ServerResponse): void;
-    /** Takes requests that wait for `100 Continue`; without it the listener continues each of them by itself. */
-    handleExpectation?(request: IncomingMessage, response: ServerResponse): void;
 }
 
 /** A listener that accepts requests. */
@@ -46,13 +44,6 @@
 export function startListener(options: ListenerOptions): Promise<Listener> {
     let stopping = false;
     const openResponses = new OpenResponses();
-    const accept = (request: IncomingMessage, response: ServerResponse): void => {
-        if (stopping) {
-            response.setHeader("connection", "close");
-        }
-        response.on("error", () => undefined);
-        openResponses.add(request.socket, response);
-    };
     const server = createServer({
         maxHeaderSize: options.maxHeaderBytes ?? defaultMaxHeaderBytes,
         headersTimeout: Math.min(headersTimeoutMs, options.requestTimeoutMs),
@@ -60,16 +51,13 @@
         keepAliveTimeout: options.idleTimeoutMs ?? defaultIdleTimeoutMs,
         noDelay: true,
     }, (request, response) => {
-        accept(request, response);
+        if (stopping) {
+            response.setHeader("connection", "close");
+        }
+        response.on("error", () => undefined);
+        openResponses.add(request.socket, response);
         options.handle(request, response);
     });
-    const { handleExpectation } = options;
-    if (handleExpectation !== undefined) {
-        server.on("checkContinue", (request: IncomingMessage, response: ServerResponse) => {
-            accept(request, response);
-            handleExpectation(request, response);
-        });
-    }
     server.maxConnections = options.maxConnections;
     server.on("clientError", (_error, socket) => {
         if (!openResponses.mayRefuse(socket)) {
--- a/transport/forwarding/src/index.ts
+++ b/transport/forwarding/src/index.ts
@@ -1,2 +1,3 @@
 export * from "./messageHeaders";
+export * from "./offerListener";
 export * from "./peerClient";
--- a/transport/forwarding/src/messageHeaders.ts
+++ b/transport/forwarding/src/messageHeaders.ts
@@ -2,6 +2,7 @@
  * Headers that concern one connection only and are not passed on.
  */
 import type { IncomingHttpHeaders } from "node:http";
+import type { PassedHeaders } from "@bilberrycroft/protocol.forwarding";
 
 const connectionHeaders: ReadonlySet<string> = new Set([
     "connection",
@@ -13,9 +14,6 @@
     "upgrade",
 ]);
 
-/** Headers of a message that is passed on. */
-export type PassedHeaders = Record<string, string | string[]>;
-
 /** Copies the headers that are passed on, without those that `isDropped` names. */
 export function copyHeaders(received: IncomingHttpHeaders, isDropped: (name: string) => boolean): PassedHeaders {
     const listed = listConnectionHeaders(received.connection);
--- /dev/null
+++ b/transport/forwarding/src/offerListener.ts
@@ -0,0 +1,221 @@
+/**
+ * Takes the connections of other nodes and the offers on them.
+ */
+import { createServer, type Socket } from "node:net";
+import {
+    type AnswerHead,
+    encodeFrame,
+    encodeMessage,
+    type Frame,
+    FrameKind,
+    FrameReader,
+    type Loss,
+    type NodeReport,
+    type OfferMessage,
+    parseOfferMessage,
+    type Refusal,
+} from "@bilberrycroft/protocol.forwarding";
+
+/** What the target's node observes of an offer. */
+export interface IncomingOfferObserver {
+    /** The body arrived: the call may run. */
+    proceeded(body: Buffer): void;
+    /** Nobody waits for the call any more: it was taken back, or the connection broke. */
+    withdrawn(): void;
+}
+
+/** An offer of another node. Exactly one of `refuse`, `lose` and `end` ends it. */
+export interface IncomingOffer {
+    readonly message: OfferMessage;
+    observe(observer: IncomingOfferObserver): void;
+    /** Nobody waits for a response. */
+    readonly isWithdrawn: boolean;
+    queue(): void;
+    grant(): void;
+    refuse(refusal: Refusal): void;
+    lose(loss: Loss): void;
+    startAnswer(head: AnswerHead): void;
+    /** Passes on a part of the body; `false` if the connection is full until `drained` resolves. */
+    write(data: Buffer): boolean;
+    drained(): Promise<void>;
+    /** The answer is whole. */
+    end(): void;
+}
+
+/** Options of `startOfferListener`. */
+export interface OfferListenerOptions {
+    readonly host: string;
+    readonly port: number;
+    readonly maxConnections: number;
+    handle(offer: IncomingOffer): void;
+    /** Report for a node that asks without a call. */
+    report(): NodeReport;
+}
+
+/** A listener for offers. */
+export interface OfferListener {
+    /** Ends all connections. */
+    close(): Promise<void>;
+}
+
+/** Binds a listener; rejects when the address cannot be bound. */
+export function startOfferListener(options: OfferListenerOptions): Promise<OfferListener> {
+    const connections = new Set<PeerConnection>();
+    const server = createServer({ noDelay: true }, socket => {
+        const connection = new PeerConnection(socket, options);
+        connections.add(connection);
+        socket.on("close", () => connections.delete(connection));
+    });
+    server.maxConnections = options.maxConnections;
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(options.port, options.host, () => {
+            resolve({
+                close: () => new Promise(closed => {
+                    server.close(() => closed());
+                    connections.forEach(connection => connection.close());
+                }),
+            });
+        });
+    });
+}
+
+/** One connection of another node. */
+class PeerConnection {
+    private readonly reader = new FrameReader();
+    private readonly offers = new Map<number, OfferOnConnection>();
+
+    constructor(private readonly socket: Socket, private readonly options: OfferListenerOptions) {
+        socket.on("data", chunk => this.read(chunk));
+        socket.on("error", () => socket.destroy());
+        socket.on("close", () => this.closed());
+    }
+
+    close(): void {
+        this.socket.destroy();
+    }
+
+    /** Forgets an offer that has ended. */
+    forget(id: number): void {
+        this.offers.delete(id);
+    }
+
+    private read(chunk: Buffer): void {
+        const frames = this.reader.push(chunk);
+        if (frames === undefined) {
+            this.socket.destroy();
+            return;
+        }
+        frames.forEach(frame => this.take(frame));
+    }
+
+    private take({ kind, offer: id, payload }: Frame): void {
+        switch (kind) {
+            case FrameKind.Offer: {
+                const message = parseOfferMessage(payload);
+                if (message === undefined || this.offers.has(id)) {
+                    return this.close();
+                }
+                const offer = new OfferOnConnection(id, message, this.socket, this);
+                this.offers.set(id, offer);
+                return this.options.handle(offer);
+            }
+            case FrameKind.Body:
+                return this.offers.get(id)?.proceeded(payload);
+            case FrameKind.Withdrawn: {
+                const offer = this.offers.get(id);
+                this.offers.delete(id);
+                return offer?.withdrawn();
+            }
+            case FrameKind.Ask:
+                this.socket.write(encodeMessage(FrameKind.Report, id, this.options.report()));
+                return;
+            default:
+                // A kind of a newer version, or one that only the target's side sends.
+                return this.close();
+        }
+    }
+
+    private closed(): void {
+        const offers = [...this.offers.values()];
+        this.offers.clear();
+        offers.forEach(offer => offer.withdrawn());
+    }
+}
+
+class OfferOnConnection implements IncomingOffer {
+    private observer: IncomingOfferObserver | undefined;
+    isWithdrawn = false;
+
+    constructor(
+        private readonly id: number,
+        readonly message: OfferMessage,
+        private readonly socket: Socket,
+        private readonly connection: PeerConnection,
+    ) {}
+
+    observe(observer: IncomingOfferObserver): void {
+        this.observer = observer;
+    }
+
+    proceeded(body: Buffer): void {
+        this.observer?.proceeded(body);
+    }
+
+    withdrawn(): void {
+        this.isWithdrawn = true;
+        this.observer?.withdrawn();
+    }
+
+    queue(): void {
+        this.send(encodeFrame(FrameKind.Queued, this.id));
+    }
+
+    grant(): void {
+        this.send(encodeFrame(FrameKind.Granted, this.id));
+    }
+
+    refuse(refusal: Refusal): void {
+        this.finish(encodeMessage(FrameKind.Refused, this.id, refusal));
+    }
+
+    lose(loss: Loss): void {
+        this.finish(encodeMessage(FrameKind.Lost, this.id, loss));
+    }
+
+    startAnswer(head: AnswerHead): void {
+        // The body usually follows at once; corked, head and body leave in one write.
+        this.socket.cork();
+        this.send(encodeMessage(FrameKind.AnswerHead, this.id, head));
+        process.nextTick(() => this.socket.uncork());
+    }
+
+    write(data: Buffer): boolean {
+        return this.send(encodeFrame(FrameKind.AnswerData, this.id, data));
+    }
+
+    drained(): Promise<void> {
+        return new Promise(resolve => {
+            const finish = (): void => {
+                this.socket.off("drain", finish);
+                this.socket.off("close", finish);
+                resolve();
+            };
+            this.socket.on("drain", finish);
+            this.socket.on("close", finish);
+        });
+    }
+
+    end(): void {
+        this.finish(encodeFrame(FrameKind.AnswerEnd, this.id));
+    }
+
+    private finish(frame: Buffer): void {
+        this.send(frame);
+        this.connection.forget(this.id);
+    }
+
+    private send(frame: Buffer): boolean {
+        return this.isWithdrawn || this.socket.destroyed || this.socket.write(frame);
+    }
+}
--- a/transport/forwarding/src/peerClient.ts
+++ b/transport/forwarding/src/peerClient.ts
@@ -1,16 +1,26 @@
 /**
- * Offers calls to other nodes over kept-alive connections, one pool for each node.
- *
- * A connection on which an offer was taken back is closed, so that a late response can not be read as the response to
- * another call.
+ * Offers calls to other nodes. All offers to a node share a connection, those with large answers another one, so that
+ * short answers do not wait behind long ones.
  */
-import { Agent, type ClientRequest, type IncomingMessage, request } from "node:http";
+import { connect, type Socket } from "node:net";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
+import {
+    type AnswerHead,
+    encodeFrame,
+    encodeMessage,
+    type Frame,
+    FrameKind,
+    FrameReader,
+    type Loss,
+    type NodeReport,
+    type OfferMessage,
+    parseAnswerHead,
+    parseLoss,
+    parseNodeReport,
+    parseRefusal,
+    type Refusal,
+} from "@bilberrycroft/protocol.forwarding";
 import { splitAddress } from "@bilberrycroft/transport.calls";
-import type { PassedHeaders } from "./messageHeaders";
-
-/** Shorter than the time after which the other node closes idle connections. */
-const idleConnectionMs: Milliseconds = 20_000;
 
 /** What happens to an offer. */
 export interface OfferObserver {
@@ -18,9 +28,12 @@
     queued(): void;
     /** A slot is granted; the call runs once `proceed` is called. */
     granted(): void;
-    /** The head of the response arrived. */
-    responded(response: IncomingMessage): void;
-    /** The connection could not be made or broke before the head of the response. */
+    refused(refusal: Refusal): void;
+    lost(loss: Loss): void;
+    answerStarted(head: AnswerHead): void;
+    answerData(data: Buffer): void;
+    answerEnded(): void;
+    /** The connection could not be made or broke before the end. */
     broken(reason: string): void;
 }
 
@@ -28,9 +41,9 @@
 export interface OfferRequest {
     /** `host:port` of the node. */
     readonly address: string;
-    readonly method: string;
-    readonly path: string;
-    readonly headers: PassedHeaders;
+    /** Whether a large answer is expected. */
+    readonly isBulk: boolean;
+    readonly message: OfferMessage;
     readonly observer: OfferObserver;
 }
 
@@ -42,114 +55,175 @@
     withdraw(): void;
 }
 
-/** Connection pools to other nodes. */
+/** Connections to other nodes. */
 export class PeerClient {
-    private readonly agents = new Map<string, Agent>();
+    private readonly channels = new Map<string, Channel>();
 
     /** Offers a call. */
-    offer(options: OfferRequest): OfferInProgress {
-        const clientRequest = request({
-            ...splitAddress(options.address),
-            method: options.method,
-            path: options.path,
-            headers: { ...options.headers, expect: "100-continue", "transfer-encoding": "chunked" },
-            agent: this.agentOf(options.address),
-        });
-        observe(clientRequest, options.observer);
-        clientRequest.flushHeaders();
-        return {
-            proceed: body => clientRequest.end(body),
-            withdraw: () => clientRequest.destroy(),
-        };
+    offer({ address, isBulk, message, observer }: OfferRequest): OfferInProgress {
+        return this.channelTo(address, isBulk).offer(message, observer);
     }
 
-    /** Asks a node for something that is no call, such as its load; `undefined` if it does not respond in time. */
-    ask(address: string, path: string, timeoutMs: Milliseconds): Promise<IncomingMessage | undefined> {
+    /** Asks a node for its report on a new connection; `undefined` if it does not respond in time. */
+    ask(address: string, timeoutMs: Milliseconds): Promise<NodeReport | undefined> {
         return new Promise(resolve => {
-            const clientRequest = request({
-                ...splitAddress(address),
-                method: "GET",
-                path,
-                agent: false,
-                timeout: timeoutMs,
-            });
-            clientRequest.on("response", response => {
-                response.on("error", () => undefined);
-                response.resume();
-                resolve(response);
-            });
-            clientRequest.on("timeout", () => clientRequest.destroy());
-            clientRequest.on("error", () => resolve(undefined));
-            clientRequest.on("close", () => resolve(undefined));
-            clientRequest.end();
+            const channel = new Channel(address, () => undefined);
+            const finish = (report: NodeReport | undefined): void => {
+                clearTimeout(timer);
+                channel.close();
+                resolve(report);
+            };
+            const timer = setTimeout(() => finish(undefined), timeoutMs);
+            channel.ask(finish);
         });
     }
 
-    /** Closes the idle connections to a node, which may have gone silent. */
-    dropIdleConnections(address: string): void {
-        const agent = this.agents.get(address);
-        for (const sockets of Object.values(agent?.freeSockets ?? {})) {
-            sockets?.forEach(socket => socket.destroy());
+    /** Makes new connections to a node from now on; the present ones may have gone silent. */
+    renewConnections(address: string): void {
+        for (const key of [keyOf(address, true), keyOf(address, false)]) {
+            this.channels.get(key)?.retire();
+            this.channels.delete(key);
         }
     }
 
-    /** Closes the pools of nodes that are not listed. */
+    /** Closes the connections to nodes that are not listed, when nothing is in progress on them. */
     retain(addresses: ReadonlySet<string>): void {
-        for (const [address, agent] of this.agents) {
-            if (!addresses.has(address) && Object.keys(agent.sockets).length === 0) {
-                agent.destroy();
-                this.agents.delete(address);
+        for (const [key, channel] of this.channels) {
+            if (!addresses.has(channel.address)) {
+                channel.retire();
+                this.channels.delete(key);
             }
         }
     }
 
     /** Closes all connections. */
     close(): void {
-        this.agents.forEach(agent => agent.destroy());
-        this.agents.clear();
+        this.channels.forEach(channel => channel.close());
+        this.channels.clear();
     }
 
-    private agentOf(address: string): Agent {
-        const known = this.agents.get(address);
+    private channelTo(address: string, isBulk: boolean): Channel {
+        const key = keyOf(address, isBulk);
+        const known = this.channels.get(key);
         if (known !== undefined) {
             return known;
         }
-        const created = new Agent({ keepAlive: true, scheduling: "lifo", timeout: idleConnectionMs, noDelay: true });
-        this.agents.set(address, created);
+        const created = new Channel(address, () => {
+            if (this.channels.get(key) === created) {
+                this.channels.delete(key);
+            }
+        });
+        this.channels.set(key, created);
         return created;
     }
 }
 
-const continueStatus = 100;
-const processingStatus = 102;
+function keyOf(address: string, isBulk: boolean): string {
+    return `${address} ${isBulk ? "bulk" : "short"}`;
+}
+
+/** One connection to a node. */
+class Channel {
+    private readonly socket: Socket;
+    private readonly reader = new FrameReader();
+    private readonly observers = new Map<number, OfferObserver>();
+    private reported: ((report: NodeReport | undefined) => void) | undefined;
+    private offers = 0;
+    private isRetired = false;
+
+    constructor(readonly address: string, private readonly closed: () => void) {
+        this.socket = connect({ ...splitAddress(address), noDelay: true });
+        this.socket.on("data", chunk => this.read(chunk));
+        this.socket.on("error", error => this.broken((error as NodeJS.ErrnoException).code ?? error.message));
+        this.socket.on("close", () => this.broken("connection closed"));
+    }
+
+    offer(message: OfferMessage, observer: OfferObserver): OfferInProgress {
+        const id = ++this.offers;
+        this.observers.set(id, observer);
+        this.socket.write(encodeMessage(FrameKind.Offer, id, message));
+        return {
+            proceed: body => this.socket.write(encodeFrame(FrameKind.Body, id, body)),
+            withdraw: () => {
+                if (this.observers.delete(id)) {
+                    this.socket.write(encodeFrame(FrameKind.Withdrawn, id));
+                    this.closeIfDone();
+                }
+            },
+        };
+    }
+
+    ask(reported: (report: NodeReport | undefined) => void): void {
+        this.reported = reported;
+        this.socket.write(encodeFrame(FrameKind.Ask, 0));
+    }
 
-function observe(clientRequest: ClientRequest, observer: OfferObserver): void {
-    let isSettled = false;
-    let isGranted = false;
-    const breakOff = (reason: string): void => {
-        if (!isSettled) {
-            isSettled = true;
-            observer.broken(reason);
+    /** Closes the connection once nothing is in progress on it. */
+    retire(): void {
+        this.isRetired = true;
+        this.closeIfDone();
+    }
+
+    close(): void {
+        this.socket.destroy();
+    }
+
+    private read(chunk: Buffer): void {
+        const frames = this.reader.push(chunk);
+        if (frames === undefined) {
+            this.socket.destroy();
+            return;
         }
-    };
-    clientRequest.on("information", ({ statusCode }) => {
-        if (statusCode === processingStatus) {
-            observer.queued();
+        frames.forEach(frame => this.take(frame));
+    }
+
+    private take({ kind, offer, payload }: Frame): void {
+        const observer = this.observers.get(offer);
+        switch (kind) {
+            case FrameKind.Queued:
+                return observer?.queued();
+            case FrameKind.Granted:
+                return observer?.granted();
+            case FrameKind.Refused:
+                return this.end(offer, parseRefusal(payload), refusal => observer?.refused(refusal));
+            case FrameKind.Lost:
+                return this.end(offer, parseLoss(payload), loss => observer?.lost(loss));
+            case FrameKind.AnswerHead: {
+                const head = parseAnswerHead(payload);
+                return head === undefined ? this.close() : observer?.answerStarted(head);
+            }
+            case FrameKind.AnswerData:
+                return observer?.answerData(payload);
+            case FrameKind.AnswerEnd:
+                return this.end(offer, true, () => observer?.answerEnded());
+            case FrameKind.Report:
+                return this.reported?.(parseNodeReport(payload));
+            default:
+                // A kind of a newer version, or one that only the calling side sends.
+                return this.close();
         }
-        else if (statusCode === continueStatus) {
-            isGranted = true;
-            observer.granted();
+    }
+
+    private end<Message>(offer: number, message: Message | undefined, tell: (message: Message) => void): void {
+        if (message === undefined) {
+            return this.close();
         }
-    });
-    clientRequest.on("response", response => {
-        isSettled = true;
-        response.on("error", () => undefined);
-        if (!isGranted) {
-            // A refusal: ends the message without a body, so that the connection can be used again.
-            clientRequest.end();
+        this.observers.delete(offer);
+        tell(message);
+        this.closeIfDone();
+    }
+
+    private closeIfDone(): void {
+        if (this.isRetired && this.observers.size === 0) {
+            this.socket.end();
         }
-        observer.responded(response);
-    });
-    clientRequest.on("error", error => breakOff((error as NodeJS.ErrnoException).code ?? error.message));
-    clientRequest.on("close", () => breakOff("connection closed"));
+    }
+
+    private broken(reason: string): void {
+        this.closed();
+        this.reported?.(undefined);
+        const observers = [...this.observers.values()];
+        this.observers.clear();
+        observers.forEach(observer => observer.broken(reason));
+    }
 }
