Charge repeated runs with their inner calls, refuse earlier, price other zones by size

Change: a node charges the usual inner calls of a repeated run of its target to its own budgets; the allowance builds up over a window after a start; a queued call is refused when it can no longer end within a quarter of the time between objective and deadline; another zone costs from 0.04 to 1.0 of the objective by the size of the answer. Found by new tests and mended: a target that had left could come back by a late heartbeat after an older incarnation; a stream that is no frames was buffered without bound.

--- a/coordination/forwarding/src/callPlan.ts
+++ b/coordination/forwarding/src/callPlan.ts
@@ -17,6 +17,8 @@
     readonly callId: string;
     readonly route: Route;
     readonly service: string;
+    /** A target made the call in the course of another one. */
+    readonly isInner: boolean;
     readonly startedAt: Milliseconds;
     readonly objectiveAt: Milliseconds;
     readonly deadlineAt: Milliseconds;
@@ -47,6 +49,8 @@
         readonly attempt: number;
         readonly candidate: TargetCandidate;
         readonly spareOnly: boolean;
+        /** Another target may have run the call already, or still runs it. */
+        readonly isRepeat: boolean;
     }
     | { readonly kind: PlanActionKind.Proceed; readonly attempt: number }
     | { readonly kind: PlanActionKind.Withdraw; readonly attempt: number }
@@ -161,7 +165,7 @@
 
     /** The first offer. */
     start(): PlanAction[] {
-        this.services.budgets.callStarted(this.call.service);
+        this.services.budgets.callStarted(this.call.service, this.call.isInner);
         return this.offerNext(false, false) ?? this.endWithoutAnswer();
     }
 
@@ -308,7 +312,7 @@
         this.attemptCount++;
         this.tried.add(candidate.node);
         this.attempts.set(this.attemptCount, { phase: AttemptPhase.Offered, node: candidate.node, isPaid });
-        return { kind: PlanActionKind.Offer, attempt: this.attemptCount, candidate, spareOnly };
+        return { kind: PlanActionKind.Offer, attempt: this.attemptCount, candidate, spareOnly, isRepeat: isPaid };
     }
 
     private noteRefusal(end: { readonly reason: CallReason; readonly retryAfterMs: Milliseconds }): void {
--- a/coordination/forwarding/src/retryBudgets.ts
+++ b/coordination/forwarding/src/retryBudgets.ts
@@ -2,7 +2,8 @@
  * Budgets for sending a call to a second target, one for each service.
  *
  * All nodes together share a bound. Each node keeps to its own part of it without hearing the others: a share of the
- * calls that it carries itself, and an equal part of the fixed allowance.
+ * calls that it carries itself, and an equal part of the fixed allowance. Calls that the own target makes in the course
+ * of a repeated run count as repeats too; they are charged where they begin, which is this node.
  */
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import { Budget } from "@bilberrycroft/coordination.retries";
@@ -27,21 +28,48 @@
 /** Part of the bound that is used. The rest covers calls that count elsewhere and nodes that joined unseen. */
 const usedPart = 0.8;
 
+/** Runs after which older ones count half in the rate of calls that a run makes. */
+const rateMemoryRuns = 256;
+
 /** Budgets of one node. */
 export class RetryBudgets {
     private readonly budgets = new Map<string, Budget>();
+    private readonly innerCalls = new Map<string, number>();
+    private readonly startedAt: Milliseconds;
+    private runs = 0;
 
-    constructor(private readonly options: RetryBudgetsOptions) {}
+    constructor(private readonly options: RetryBudgetsOptions) {
+        this.startedAt = options.clock.now();
+    }
 
-    /** Counts a call for the service. */
-    callStarted(service: string): void {
+    /** Counts a call for the service; `isInner` if the own target made it in the course of another call. */
+    callStarted(service: string, isInner: boolean): void {
         this.budgetOf(service).callStarted(this.options.clock.now());
+        if (isInner) {
+            this.innerCalls.set(service, (this.innerCalls.get(service) ?? 0) + 1);
+        }
     }
 
     /** Takes one further attempt from the budget; `false` if there is none left. */
     trySpend(service: string): boolean {
-        const allowance = usedPart * this.options.bound.allowance / Math.max(1, this.options.countNodes());
-        return this.budgetOf(service).trySpendWithAllowance(allowance, this.options.clock.now());
+        const { clock, bound, countNodes } = this.options;
+        // What an earlier process of this node has spent is not known, so the allowance builds up over a window.
+        const builtUp = Math.min(1, (clock.now() - this.startedAt) / bound.windowMs);
+        const allowance = usedPart * builtUp * bound.allowance / Math.max(1, countNodes());
+        return this.budgetOf(service).trySpendWithAllowance(allowance, clock.now());
+    }
+
+    /** Counts a run of the own target. A repeated one is charged with the calls that a run usually makes. */
+    targetRuns(isRepeat: boolean): void {
+        this.runs++;
+        if (isRepeat) {
+            const now = this.options.clock.now();
+            this.innerCalls.forEach((calls, service) => this.budgetOf(service).charge(calls / this.runs, now));
+        }
+        if (this.runs >= rateMemoryRuns) {
+            this.runs /= 2;
+            this.innerCalls.forEach((calls, service) => this.innerCalls.set(service, calls / 2));
+        }
     }
 
     private budgetOf(service: string): Budget {
--- a/coordination/forwarding/src/targetDirectory.ts
+++ b/coordination/forwarding/src/targetDirectory.ts
@@ -47,8 +47,8 @@
 /** A call in a full target takes about this much longer than in an empty one. */
 const fullTargetSlowdown = 0.3;
 /** Extra price of another zone as a part of the latency objective, for small and for large answers. */
-const otherZonePart = 0.1;
-const otherZonePartOfLargeAnswers = 0.4;
+const otherZonePart = 0.04;
+const otherZonePartOfLargeAnswers = 1;
 const largeAnswerBytes = 65_536;
 /** A failed call costs the time of another attempt: this part of the objective. */
 const failurePart = 1.5;
--- a/coordination/forwarding/src/targetQueue.ts
+++ b/coordination/forwarding/src/targetQueue.ts
@@ -73,13 +73,22 @@
 const maxQueued = 512;
 /** A run time varies; a call is taken to meet its objective if it would with this much more than the usual time. */
 const objectiveMargin = 1.2;
-/** Part of the time between objective and deadline that a queued call may use. A late answer is worth less. */
-const lateShare = 0.5;
+/**
+ * Part of the time between objective and deadline that a queued call may use. A late answer is worth less, and a caller
+ * that is refused early can still come back.
+ */
+const lateShare = 0.25;
 const shortestRetryAfterMs: Milliseconds = 50;
 const longestRetryAfterMs: Milliseconds = 1_000;
 /** Weight of the latest end in the share of failures. */
 const failureGain = 0.08;
 
+interface QueuedCall {
+    readonly call: OfferedCall;
+    /** From then on the call can not end in time. */
+    readonly refuseAt: Milliseconds;
+}
+
 interface RunningCall {
     readonly route: string;
     readonly startedAt: Milliseconds;
@@ -89,7 +98,7 @@
 export class TargetQueue {
     private readonly runTimes = new RunTimeEstimates();
     private readonly running = new Map<string, RunningCall>();
-    private queue: OfferedCall[] = [];
+    private queue: QueuedCall[] = [];
     private slots = 0;
     private availability = TargetAvailability.Down;
     private failureShare = 0;
@@ -103,7 +112,7 @@
         if (target.availability === TargetAvailability.Serving) {
             return this.startNext();
         }
-        const refused = this.queue.map(call => this.refuse(call, this.unavailableReason()));
+        const refused = this.queue.map(({ call }) => this.refuse(call, this.unavailableReason()));
         this.queue = [];
         return refused;
     }
@@ -129,13 +138,10 @@
             return this.refuse(call, CallReason.Overloaded);
         }
         const expectedWaitMs = this.expectedWaitMs(call);
-        const latestEnd = call.isInner
-            ? call.deadlineAt
-            : Math.max(call.objectiveAt, now) + lateShare * (call.deadlineAt - Math.max(call.objectiveAt, now));
-        if (now + expectedWaitMs + this.expectedRunMs(call) > latestEnd) {
+        if (now + expectedWaitMs + this.expectedRunMs(call) > this.latestEnd(call, now)) {
             return this.refuse(call, CallReason.Overloaded);
         }
-        this.queue.push(call);
+        this.queue.push({ call, refuseAt: this.latestEnd(call, now) - this.expectedRunMs(call) });
         return { kind: OfferDecisionKind.Queued, callId: call.callId, expectedWaitMs };
     }
 
@@ -158,18 +164,18 @@
 
     /** Takes a call out of the queue because its caller left. */
     cancelled(callId: string): void {
-        this.queue = this.queue.filter(call => call.callId !== callId);
+        this.queue = this.queue.filter(({ call }) => call.callId !== callId);
     }
 
     /** Refuses the calls that can no longer be served. */
     expire(): QueueEvent[] {
         const now = this.options.clock.now();
-        const expired = this.queue.filter(call => now >= call.deadlineAt);
+        const expired = this.queue.filter(({ refuseAt }) => now >= refuseAt);
         if (expired.length === 0) {
             return [];
         }
-        this.queue = this.queue.filter(call => now < call.deadlineAt);
-        return expired.map(call => this.refuse(call, CallReason.DeadlinePassed));
+        this.queue = this.queue.filter(({ refuseAt }) => now < refuseAt);
+        return expired.map(({ call }) => this.refuse(call, CallReason.Overloaded));
     }
 
     /** Calls that run in the target. */
@@ -213,11 +219,11 @@
         const now = this.options.clock.now();
         let best = 0;
         for (let index = 1; index < this.queue.length; index++) {
-            if (this.goesBefore(this.queue[index] as OfferedCall, this.queue[best] as OfferedCall, now)) {
+            if (this.goesBefore((this.queue[index] as QueuedCall).call, (this.queue[best] as QueuedCall).call, now)) {
                 best = index;
             }
         }
-        return this.queue.splice(best, 1)[0] as OfferedCall;
+        return (this.queue.splice(best, 1)[0] as QueuedCall).call;
     }
 
     /** Inner calls first, then by priority, then those that can still meet their objective, the most pressing first. */
@@ -235,6 +241,12 @@
         return canMeet ? call.objectiveAt < other.objectiveAt : call.deadlineAt < other.deadlineAt;
     }
 
+    /** A call below another one has no value of its own; only its deadline counts. */
+    private latestEnd(call: OfferedCall, now: Milliseconds): Milliseconds {
+        const objectiveAt = Math.min(Math.max(call.objectiveAt, now), call.deadlineAt);
+        return call.isInner ? call.deadlineAt : objectiveAt + lateShare * (call.deadlineAt - objectiveAt);
+    }
+
     private canMeetObjective(call: OfferedCall, now: Milliseconds): boolean {
         return now + objectiveMargin * this.expectedRunMs(call) <= call.objectiveAt;
     }
@@ -245,7 +257,8 @@
 
     /** Time until a slot is free for the call, counting the calls that would go first. */
     private expectedWaitMs(call: OfferedCall): Milliseconds {
-        const ahead = this.queue.filter(other => other.isInner || (!call.isInner && other.priority <= call.priority));
+        const ahead = this.queue.filter(({ call: other }) =>
+            other.isInner || (!call.isInner && other.priority <= call.priority));
         return (ahead.length + 1) * this.runTimes.meanMs / Math.max(1, this.slots);
     }
 
--- /dev/null
+++ b/coordination/forwarding/test/callPlan.test.ts
@@ -0,0 +1,242 @@
+import { ManualClock } from "@bilberrycroft/core.clock";
+import { createSeededRandom } from "@bilberrycroft/core.random";
+import {
+    type AttemptEnd,
+    AttemptEndKind,
+    CallPlan,
+    type PlanAction,
+    PlanActionKind,
+    RetryBudgets,
+    RouteLatencyTable,
+    TargetDirectory,
+} from "@bilberrycroft/coordination.forwarding";
+import { CallReason } from "@bilberrycroft/protocol.calls";
+import { TargetPhase } from "@bilberrycroft/protocol.forwarding";
+import type { Route } from "@bilberrycroft/state.routes";
+import fc from "fast-check";
+import { beforeEach, describe, expect, it } from "vitest";
+
+const windowMs = 10_000;
+const repeatableRoute: Route = {
+    name: "r",
+    host: "h",
+    pathPrefix: "/",
+    services: [{ service: "s", weight: 1 }],
+    timeoutMs: 1_000,
+    latencyObjectiveMs: 300,
+    maxTargets: 2,
+    priority: 1,
+    repeatable: true,
+};
+const onceRoute: Route = { ...repeatableRoute, repeatable: false };
+const overloaded: AttemptEnd = { kind: AttemptEndKind.Refused, reason: CallReason.Overloaded, retryAfterMs: 90 };
+const notRun: AttemptEnd = { kind: AttemptEndKind.NotRun, reason: CallReason.TargetRefused, retryAfterMs: 0 };
+
+describe("CallPlan", () => {
+    let clock: ManualClock;
+    let budgets: RetryBudgets;
+    let directory: TargetDirectory;
+
+    beforeEach(() => {
+        clock = new ManualClock();
+        const random = createSeededRandom(5);
+        directory = new TargetDirectory({ clock, random, zone: "z" });
+        directory.setEntries(["a", "b", "c"].map(node => ({
+            node,
+            zone: "z",
+            address: `${node}:1`,
+            target: { id: `t-${node}`, service: "s", slots: 4, phase: TargetPhase.Ready, startedAt: 1, coldUntil: 0 },
+            crashes: [],
+        })));
+        budgets = new RetryBudgets({ clock, bound: { share: 0, allowance: 10, windowMs }, countNodes: () => 1 });
+        clock.advance(windowMs);
+    });
+
+    const createPlan = (route: Route, mayRepeat = true): CallPlan => {
+        const services = { clock, directory, budgets, latencies: new RouteLatencyTable(), mayRepeat: () => mayRepeat };
+        const startedAt = clock.now();
+        return new CallPlan(services, {
+            callId: "call",
+            route,
+            service: "s",
+            isInner: false,
+            startedAt,
+            objectiveAt: startedAt + 300,
+            deadlineAt: startedAt + 1_000,
+        }, 100);
+    };
+    const kinds = (actions: readonly PlanAction[]): PlanActionKind[] => actions.map(({ kind }) => kind);
+    const spendBudget = (): void => {
+        while (budgets.trySpend("s")) {
+            // Nothing is left afterwards.
+        }
+    };
+
+    describe("before the grant", () => {
+        it.each([repeatableRoute, onceRoute])("goes elsewhere without the budget when a node refuses or is silent", route => {
+            spendBudget();
+            const plan = createPlan(route);
+            plan.start();
+            expect(plan.attemptEnded(1, { kind: AttemptEndKind.Unreachable })).toMatchObject([{ kind: PlanActionKind.Offer, attempt: 2 }]);
+            expect(plan.attemptEnded(2, overloaded)).toMatchObject([{ kind: PlanActionKind.Offer, attempt: 3 }]);
+            expect(plan.attemptEnded(3, overloaded)).toEqual([
+                { kind: PlanActionKind.Refuse, reason: CallReason.Overloaded, retryAfterMs: 90 },
+            ]);
+        });
+
+        it("looks for a free slot elsewhere while it waits, and takes the first grant only", () => {
+            const plan = createPlan(onceRoute);
+            plan.start();
+            expect(kinds(plan.queued(1))).toEqual([PlanActionKind.WakeAt]);
+            expect(plan.secondTargetDue()).toMatchObject([{ kind: PlanActionKind.Offer, attempt: 2, spareOnly: true, isRepeat: false }]);
+            expect(kinds(plan.granted(2))).toEqual([PlanActionKind.Proceed, PlanActionKind.Withdraw]);
+            expect(plan.granted(1)).toEqual([{ kind: PlanActionKind.Withdraw, attempt: 1 }]);
+        });
+    });
+
+    describe("after the grant", () => {
+        it("never sends a call that may not be repeated again, but on the target's word that it did not run", () => {
+            const lost = createPlan(onceRoute);
+            lost.start();
+            expect(kinds(lost.granted(1))).toEqual([PlanActionKind.Proceed]);
+            expect(lost.secondTargetDue()).toEqual([]);
+            expect(lost.attemptEnded(1, { kind: AttemptEndKind.Lost }))
+                .toEqual([{ kind: PlanActionKind.Fail, reason: CallReason.AnswerLost }]);
+            const refused = createPlan(onceRoute);
+            refused.start();
+            refused.granted(1);
+            expect(refused.attemptEnded(1, notRun)).toMatchObject([{ kind: PlanActionKind.Offer, attempt: 2 }]);
+        });
+
+        it("asks a second target for a slow call that may be repeated, and takes the first answer", () => {
+            const plan = createPlan(repeatableRoute);
+            plan.start();
+            const wakeAt = plan.granted(1).find(action => action.kind === PlanActionKind.WakeAt);
+            expect(wakeAt?.at).toBeLessThan(clock.now() + 300);
+            clock.advance(180);
+            expect(plan.secondTargetDue()).toMatchObject([{ kind: PlanActionKind.Offer, attempt: 2, isRepeat: true }]);
+            plan.granted(2);
+            expect(plan.attemptEnded(2, { kind: AttemptEndKind.Answered })).toEqual([
+                { kind: PlanActionKind.Answer, attempt: 2 },
+                { kind: PlanActionKind.Withdraw, attempt: 1 },
+            ]);
+        });
+
+        it("asks no second target without budget, or for a request that crashes its targets", () => {
+            const held = createPlan(repeatableRoute, false);
+            held.start();
+            held.granted(1);
+            expect(held.secondTargetDue()).toEqual([]);
+            spendBudget();
+            const poor = createPlan(repeatableRoute);
+            poor.start();
+            poor.granted(1);
+            expect(poor.secondTargetDue()).toEqual([]);
+            expect(kinds(poor.attemptEnded(1, { kind: AttemptEndKind.Lost }))).toEqual([PlanActionKind.Fail]);
+        });
+
+        it("keeps to the route's number of targets", () => {
+            const plan = createPlan(repeatableRoute);
+            plan.start();
+            plan.granted(1);
+            plan.attemptEnded(1, { kind: AttemptEndKind.Lost });
+            plan.granted(2);
+            expect(kinds(plan.attemptEnded(2, { kind: AttemptEndKind.Lost }))).toEqual([PlanActionKind.Fail]);
+        });
+
+        it("prefers a target's own failure to a failure of its own", () => {
+            const plan = createPlan(repeatableRoute);
+            plan.start();
+            plan.granted(1);
+            expect(kinds(plan.attemptEnded(1, { kind: AttemptEndKind.Failed }))).toEqual([PlanActionKind.Offer]);
+            plan.granted(2);
+            expect(plan.attemptEnded(2, { kind: AttemptEndKind.Lost })).toEqual([{ kind: PlanActionKind.Answer, attempt: 1 }]);
+        });
+    });
+
+    describe("at the end", () => {
+        it("says at the deadline whether the call may have run", () => {
+            const waiting = createPlan(onceRoute);
+            waiting.start();
+            expect(waiting.deadlinePassed()[0]).toMatchObject({ kind: PlanActionKind.Refuse, reason: CallReason.DeadlinePassed });
+            const running = createPlan(onceRoute);
+            running.start();
+            running.granted(1);
+            expect(running.deadlinePassed()[0]).toEqual({ kind: PlanActionKind.Fail, reason: CallReason.TimedOut });
+        });
+
+        it("takes everything back when the caller leaves, but a run that may not be repeated", () => {
+            const once = createPlan(onceRoute);
+            once.start();
+            once.granted(1);
+            expect(once.callerLeft()).toEqual([]);
+            const repeatable = createPlan(repeatableRoute);
+            repeatable.start();
+            repeatable.granted(1);
+            expect(repeatable.callerLeft()).toEqual([{ kind: PlanActionKind.Withdraw, attempt: 1 }]);
+        });
+
+        it("never says that a call did not run after it has proceeded without the target's word, whatever happens", () => {
+            const events = fc.array(fc.record({ event: fc.nat({ max: 7 }), attempt: fc.integer({ min: 1, max: 4 }), ms: fc.nat({ max: 200 }) }), { maxLength: 25 });
+            fc.assert(fc.property(events, fc.boolean(), (steps, isRepeatable) => {
+                const plan = createPlan(isRepeatable ? repeatableRoute : onceRoute);
+                const open = new Set<number>();
+                const unknown = new Set<number>();
+                let answers = 0;
+                const perform = (actions: readonly PlanAction[]): void => {
+                    for (const action of actions) {
+                        switch (action.kind) {
+                            case PlanActionKind.Offer:
+                                open.add(action.attempt);
+                                break;
+                            case PlanActionKind.Proceed:
+                                unknown.add(action.attempt);
+                                expect(isRepeatable || unknown.size === 1).toBe(true);
+                                break;
+                            case PlanActionKind.Withdraw:
+                                open.delete(action.attempt);
+                                break;
+                            case PlanActionKind.Refuse:
+                                expect(unknown.size).toBe(0);
+                                answers++;
+                                break;
+                            case PlanActionKind.Answer:
+                            case PlanActionKind.Fail:
+                                answers++;
+                                break;
+                            default:
+                                break;
+                        }
+                    }
+                };
+                perform(plan.start());
+                for (const { event, attempt, ms } of steps) {
+                    clock.advance(ms);
+                    if (event === 0) {
+                        perform(plan.secondTargetDue());
+                    }
+                    else if (event === 1) {
+                        perform(plan.deadlinePassed());
+                    }
+                    else if (open.has(attempt)) {
+                        const isRunning = unknown.has(attempt);
+                        if (event === 2 && !isRunning) {
+                            perform(plan.granted(attempt));
+                            continue;
+                        }
+                        open.delete(attempt);
+                        const end: AttemptEnd = isRunning
+                            ? [notRun, { kind: AttemptEndKind.Lost } as const, { kind: AttemptEndKind.Failed } as const, { kind: AttemptEndKind.Answered } as const][event % 4] ?? notRun
+                            : event % 2 === 0 ? overloaded : { kind: AttemptEndKind.Unreachable };
+                        if (end.kind === AttemptEndKind.NotRun) {
+                            unknown.delete(attempt);
+                        }
+                        perform(plan.attemptEnded(attempt, end));
+                    }
+                }
+                perform(plan.deadlinePassed());
+                expect(answers).toBe(1);
+            }), { seed: 23, numRuns: 500 });
+        });
+    });
+});
--- /dev/null
+++ b/coordination/forwarding/test/targetQueue.test.ts
@@ -0,0 +1,177 @@
+import { ManualClock } from "@bilberrycroft/core.clock";
+import { createSeededRandom } from "@bilberrycroft/core.random";
+import { CallReason } from "@bilberrycroft/protocol.calls";
+import { TargetAvailability } from "@bilberrycroft/protocol.forwarding";
+import fc from "fast-check";
+import { beforeEach, describe, expect, it } from "vitest";
+import { type OfferedCall, OfferDecisionKind, RunResult, TargetQueue } from "@bilberrycroft/coordination.forwarding";
+
+const seed = 7;
+const serving = { slots: 2, availability: TargetAvailability.Serving };
+
+describe("TargetQueue", () => {
+    let clock: ManualClock;
+    let queue: TargetQueue;
+    let count: number;
+
+    beforeEach(() => {
+        clock = new ManualClock();
+        queue = new TargetQueue({ clock, random: createSeededRandom(seed) });
+        queue.setTarget(serving);
+        count = 0;
+    });
+
+    const call = (changes: Partial<OfferedCall> = {}): OfferedCall => ({
+        callId: `call-${++count}`,
+        route: "r",
+        priority: 1,
+        isInner: false,
+        spareOnly: false,
+        objectiveAt: clock.now() + 300,
+        deadlineAt: clock.now() + 1_000,
+        ...changes,
+    });
+    const offer = (changes: Partial<OfferedCall> = {}): string => {
+        const offered = call(changes);
+        queue.offer(offered);
+        return offered.callId;
+    };
+    const fill = (): [string, string] => [offer(), offer()];
+
+    describe("slots", () => {
+        it("grants as many calls as the target has slots, and the next when one ends", () => {
+            const [first] = fill();
+            const third = call();
+            expect(queue.offer(third).kind).toBe(OfferDecisionKind.Queued);
+            expect(queue.finished(first, RunResult.Answered))
+                .toEqual([{ kind: OfferDecisionKind.Granted, callId: third.callId }]);
+        });
+
+        it("never runs more calls than slots, whatever happens", () => {
+            fc.assert(fc.property(
+                fc.array(fc.record({ step: fc.integer({ min: 0, max: 5 }), pick: fc.nat(), isInner: fc.boolean() }), { maxLength: 80 }),
+                steps => {
+                    const manual = new ManualClock();
+                    const tested = new TargetQueue({ clock: manual, random: createSeededRandom(seed) });
+                    tested.setTarget(serving);
+                    const known: string[] = [];
+                    for (const { step, pick, isInner } of steps) {
+                        const picked = known[pick % Math.max(1, known.length)] ?? "none";
+                        switch (step) {
+                            case 0: case 1: {
+                                const id = `c${known.length}`;
+                                known.push(id);
+                                tested.offer({
+                                    ...call({ isInner }),
+                                    callId: id,
+                                    objectiveAt: manual.now() + 300,
+                                    deadlineAt: manual.now() + 1_000,
+                                });
+                                break;
+                            }
+                            case 2:
+                                tested.finished(picked, RunResult.Answered);
+                                break;
+                            case 3:
+                                tested.cancelled(picked);
+                                break;
+                            case 4:
+                                manual.advance(pick % 400);
+                                tested.expire();
+                                break;
+                            default:
+                                tested.setTarget(pick % 4 === 0 ? { ...serving, availability: TargetAvailability.Leaving } : serving);
+                        }
+                        expect(tested.runningCalls).toBeLessThanOrEqual(serving.slots);
+                    }
+                },
+            ), { seed, numRuns: 200 });
+        });
+
+        it("gives an offer that may take only a free slot none of the others'", () => {
+            fill();
+            expect(queue.offer(call({ spareOnly: true }))).toMatchObject({
+                kind: OfferDecisionKind.Refused,
+                reason: CallReason.Overloaded,
+            });
+        });
+    });
+
+    describe("order", () => {
+        const startedAfter = (ids: readonly string[]): string[] => {
+            const started: string[] = [];
+            let running = ids;
+            while (running.length > 0) {
+                const granted = running.flatMap(id => queue.finished(id, RunResult.Cancelled)).map(({ callId }) => callId);
+                started.push(...granted);
+                running = granted;
+            }
+            return started;
+        };
+
+        it("serves calls below other calls first, because those hold a slot elsewhere", () => {
+            const running = fill();
+            const outer = offer({ priority: 0 });
+            const inner = offer({ isInner: true, priority: 9 });
+            expect(startedAfter(running)).toEqual([inner, outer]);
+        });
+
+        it("serves the more urgent first, then what can still meet its objective, the most pressing first", () => {
+            const running = fill();
+            const late = offer({ objectiveAt: clock.now() - 1 });
+            const relaxed = offer({ objectiveAt: clock.now() + 290 });
+            const pressing = offer({ objectiveAt: clock.now() + 200 });
+            const urgent = offer({ priority: 0 });
+            expect(startedAfter(running)).toEqual([urgent, pressing, relaxed, late]);
+        });
+    });
+
+    describe("refusals", () => {
+        it("refuses at once what could not end in time, and names a time to come back", () => {
+            fill();
+            for (let waiting = 0; waiting < 40; waiting++) {
+                queue.offer(call());
+            }
+            const refusal = queue.offer(call());
+            expect(refusal).toMatchObject({ kind: OfferDecisionKind.Refused, reason: CallReason.Overloaded });
+            expect(queue.queuedCalls).toBeLessThan(40);
+        });
+
+        it("keeps a call below another one for as long as it has time", () => {
+            fill();
+            for (let waiting = 0; waiting < 15; waiting++) {
+                queue.offer(call());
+            }
+            expect(queue.offer(call({ isInner: true, objectiveAt: clock.now() + 1 })).kind).toBe(OfferDecisionKind.Queued);
+        });
+
+        it("refuses a queued call once it can no longer end in time, without a run", () => {
+            const running = fill();
+            const waiting = offer();
+            clock.advance(600);
+            expect(queue.expire()).toMatchObject([{ kind: OfferDecisionKind.Refused, callId: waiting }]);
+            expect(queue.finished(running[0], RunResult.Answered)).toEqual([]);
+        });
+
+        it("refuses queued and new calls when the target leaves", () => {
+            fill();
+            const waiting = offer();
+            expect(queue.setTarget({ slots: 2, availability: TargetAvailability.Leaving }))
+                .toMatchObject([{ callId: waiting, reason: CallReason.Draining }]);
+            expect(queue.offer(call())).toMatchObject({ reason: CallReason.Draining });
+        });
+    });
+
+    describe("load", () => {
+        it("tells the share of calls that the target fails", () => {
+            for (let failed = 0; failed < 20; failed++) {
+                queue.finished(offer(), RunResult.Failed);
+            }
+            expect(queue.load("r").failureShare).toBeGreaterThan(0.7);
+            for (let answered = 0; answered < 60; answered++) {
+                queue.finished(offer(), RunResult.Answered);
+            }
+            expect(queue.load("r").failureShare).toBeLessThan(0.05);
+        });
+    });
+});
--- /dev/null
+++ b/coordination/forwarding/test/weightedShares.test.ts
@@ -0,0 +1,54 @@
+import { createSeededRandom } from "@bilberrycroft/core.random";
+import { WeightedShares } from "@bilberrycroft/coordination.forwarding";
+import type { Route } from "@bilberrycroft/state.routes";
+import { describe, expect, it } from "vitest";
+
+const createRoute = (weights: readonly number[]): Route => ({
+    name: "r",
+    host: "h",
+    pathPrefix: "/",
+    services: weights.map((weight, index) => ({ service: `s${index}`, weight })),
+    timeoutMs: 1_000,
+    latencyObjectiveMs: 300,
+    maxTargets: 2,
+    priority: 1,
+    repeatable: true,
+});
+const count = (shares: WeightedShares, route: Route, calls: number): number[] => {
+    const counts = route.services.map(() => 0);
+    for (let call = 0; call < calls; call++) {
+        const picked = shares.next(route);
+        const index = route.services.findIndex(({ service }) => service === picked);
+        counts[index] = (counts[index] ?? 0) + 1;
+    }
+    return counts;
+};
+
+describe("WeightedShares", () => {
+    it.each([[[90, 10]], [[1, 1, 2]], [[70, 0, 30]], [[0.5, 0.25]]])("keeps to the weights %s", weights => {
+        const calls = 1_000;
+        const total = weights.reduce((sum, weight) => sum + weight, 0);
+        count(new WeightedShares(createSeededRandom(1)), createRoute(weights), calls).forEach((share, index) => {
+            expect(Math.abs(share / calls - (weights[index] ?? 0) / total)).toBeLessThan(0.01);
+        });
+    });
+
+    it("keeps to the weights over many nodes that carry few calls each", () => {
+        const route = createRoute([90, 10]);
+        const seeds = createSeededRandom(3);
+        let small = 0;
+        for (let node = 0; node < 200; node++) {
+            small += count(new WeightedShares(createSeededRandom(seeds.nextInteger(1_000_000))), route, 3)[1] ?? 0;
+        }
+        expect(Math.abs(small / 600 - 0.1)).toBeLessThan(0.03);
+    });
+
+    it("keeps its place when a new version has the same weights", () => {
+        const shares = new WeightedShares(createSeededRandom(1));
+        const picked: string[] = [];
+        for (let call = 0; call < 100; call++) {
+            picked.push(shares.next(createRoute([75, 25])));
+        }
+        expect(picked.filter(service => service === "s1")).toHaveLength(25);
+    });
+});
--- a/coordination/registration/src/ownTarget.ts
+++ b/coordination/registration/src/ownTarget.ts
@@ -70,6 +70,12 @@
         const before = this.known?.announced;
         const availabilityBefore = this.availability;
         const announced = this.createAnnounced(heartbeat, before);
+        if (before !== undefined && !isSameIncarnation(before, announced)) {
+            this.rememberEnded(before.id, before.startedAt);
+        }
+        if (announced.phase === TargetPhase.Draining) {
+            this.rememberEnded(announced.id, announced.startedAt);
+        }
         this.known = { announced, sequence: heartbeat.sequence };
         this.heardAt = this.options.clock.now();
         this.isDown = false;
@@ -81,8 +87,8 @@
 
     /** Takes a departure; from now on the target counts as leaving. */
     departed(departure: TargetDeparture): HeartbeatOutcome {
-        this.rememberEnded(departure.id, departure.startedAt);
         const before = this.known;
+        this.rememberEnded(departure.id, departure.startedAt ?? before?.announced.startedAt);
         if (before === undefined || before.announced.id !== departure.id) {
             return { kind: HeartbeatOutcomeKind.Outdated };
         }
@@ -116,16 +122,17 @@
 
     private isOutdated(heartbeat: TargetHeartbeat): boolean {
         const startedAt = heartbeat.startedAt ?? 0;
-        if (heartbeat.phase === TargetPhase.Ready && this.hasEnded(heartbeat.id, heartbeat.startedAt)) {
+        const isKnown = this.known?.announced.id === heartbeat.id && this.known.announced.startedAt === startedAt;
+        if (this.known !== undefined && isKnown) {
+            return heartbeat.sequence <= this.known.sequence;
+        }
+        if (this.hasEnded(heartbeat.id, startedAt)) {
             return true;
         }
         if (this.known === undefined) {
             return false;
         }
-        const { announced, sequence } = this.known;
-        if (announced.id === heartbeat.id && announced.startedAt === startedAt) {
-            return heartbeat.sequence <= sequence;
-        }
+        const { announced } = this.known;
         // A clock that was set back gives a new incarnation an earlier start, but then the known one is not heard.
         return startedAt < announced.startedAt && this.availability === TargetAvailability.Serving;
     }
@@ -141,6 +148,9 @@
     }
 
     private rememberEnded(id: string, startedAt: Milliseconds | undefined): void {
+        if (this.hasEnded(id, startedAt)) {
+            return;
+        }
         this.ended.push(incarnationKey(id, startedAt));
         if (this.ended.length > maxEnded) {
             this.ended.shift();
@@ -153,7 +163,7 @@
 }
 
 function incarnationKey(id: string, startedAt: Milliseconds | undefined): string {
-    return `${startedAt ?? ""} ${id}`;
+    return `${startedAt ?? 0} ${id}`;
 }
 
 function isSameIncarnation(before: AnnouncedTarget | undefined, after: AnnouncedTarget): boolean {
--- /dev/null
+++ b/coordination/registration/test/ownEntry.test.ts
@@ -0,0 +1,61 @@
+import { EntryWriteKind, OwnEntry } from "@bilberrycroft/coordination.registration";
+import { type NodeEntry, TargetPhase } from "@bilberrycroft/protocol.forwarding";
+import { beforeEach, describe, expect, it } from "vitest";
+
+const createEntry = (phase = TargetPhase.Ready): NodeEntry => ({
+    node: "n",
+    zone: "z",
+    address: "a:1",
+    target: { id: "i", service: "s", slots: 2, phase, startedAt: 1, coldUntil: 0 },
+    crashes: [],
+});
+
+describe("OwnEntry", () => {
+    let entry: OwnEntry;
+
+    beforeEach(() => {
+        entry = new OwnEntry();
+    });
+
+    it("writes nothing until it is known what to say", () => {
+        expect(entry.nextWrite().kind).toBe(EntryWriteKind.None);
+    });
+
+    it("creates the entry, and again when another process removed it", () => {
+        entry.want(createEntry());
+        expect(entry.nextWrite().kind).toBe(EntryWriteKind.Create);
+        entry.written(createEntry(), 7);
+        expect(entry.isCurrent).toBe(true);
+        entry.storeHolds(undefined);
+        expect(entry.nextWrite().kind).toBe(EntryWriteKind.Create);
+    });
+
+    it("replaces what differs under the revision that it read, so that a late write changes nothing", () => {
+        entry.want(createEntry());
+        entry.written(createEntry(), 7);
+        entry.want(createEntry(TargetPhase.Draining));
+        expect(entry.nextWrite()).toMatchObject({ kind: EntryWriteKind.Replace, revision: 7 });
+        entry.storeHolds({ revision: 9, value: createEntry() });
+        expect(entry.nextWrite()).toMatchObject({ revision: 9 });
+    });
+
+    it("ignores a read that is older than its last write", () => {
+        entry.want(createEntry());
+        entry.written(createEntry(), 7);
+        entry.storeHolds({ revision: 5, value: createEntry(TargetPhase.Draining) });
+        expect(entry.isCurrent).toBe(true);
+    });
+
+    it("replaces an entry that another writer damaged", () => {
+        entry.want(createEntry());
+        entry.storeHolds({ revision: 3, value: { node: 5 } });
+        expect(entry.nextWrite()).toMatchObject({ kind: EntryWriteKind.Replace, revision: 3 });
+    });
+
+    it("waits longer after each failure, and from the start after a success", () => {
+        const first = entry.writeFailed();
+        expect(entry.writeFailed()).toBeGreaterThan(first);
+        entry.written(createEntry(), 1);
+        expect(entry.writeFailed()).toBe(first);
+    });
+});
--- a/coordination/retries/src/budget.ts
+++ b/coordination/retries/src/budget.ts
@@ -50,6 +50,11 @@
         return this.trySpendOf(allowance + this.calls.sum(now) * this.options.share, now);
     }
 
+    /** Counts attempts that happened without being asked for. */
+    charge(attempts: number, now: Milliseconds): void {
+        this.spent.add(now, attempts);
+    }
+
     private trySpendOf(allowed: number, now: Milliseconds): boolean {
         if (this.spent.sum(now) + 1 > allowed) {
             return false;
--- a/daemons/sidecar/src/calls/callerCall.ts
+++ b/daemons/sidecar/src/calls/callerCall.ts
@@ -145,7 +145,7 @@
     }
 
     private offer(action: Extract<PlanAction, { kind: PlanActionKind.Offer }>): void {
-        const { attempt, candidate, spareOnly } = action;
+        const { attempt, candidate, spareOnly, isRepeat } = action;
         const { call, services } = this;
         const now = services.clock.now();
         services.directory.offered(candidate.node, this.offerKey(attempt));
@@ -160,6 +160,7 @@
                     deadlineMs: Math.max(1, Math.floor(call.deadlineAt - now)),
                     objectiveMs: Math.floor(call.objectiveAt - now),
                     spareOnly,
+                    isRepeat,
                     bodyBytes: call.hasBody ? call.body.length : undefined,
                 },
                 method: call.request.method ?? "GET",
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -55,6 +55,7 @@
     private readonly targetClient = new TargetClient(this.clock);
     private readonly directory: TargetDirectory;
     private readonly quarantine: Quarantine;
+    private readonly budgets: RetryBudgets;
     private readonly configurations: CollectionTask;
     private readonly registry: CollectionTask;
     private readonly configuration: ConfigurationTask;
@@ -72,6 +73,7 @@
         this.random = random;
         this.directory = directory;
         this.quarantine = new Quarantine({ node: settings.node, clock });
+        this.budgets = new RetryBudgets({ clock, bound: settings.retryBudget, countNodes: () => directory.size });
         this.configurations = this.createCollectionTask("configuration", platform.configurations, configurationGatherMs);
         this.registry = this.createCollectionTask("nodes", platform.nodes, registryGatherMs);
         this.configuration = new ConfigurationTask({ platform, log });
@@ -179,6 +181,7 @@
             queue: new TargetQueue({ clock, random }),
             target,
             quarantine,
+            budgets: this.budgets,
             client: this.targetClient,
             codec: platform.headers,
             log,
@@ -201,7 +204,7 @@
             log,
             quarantine,
             metrics,
-            budgets: new RetryBudgets({ clock, bound: settings.retryBudget, countNodes: () => directory.size }),
+            budgets: this.budgets,
             hostIp: splitAddress(settings.callerAddress).host,
             service: settings.service,
             stateMark: () => this.stateMark(),
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -138,7 +138,8 @@
             mayRepeat: () => options.quarantine.check(call.offer.fingerprint).kind !== QuarantineDecisionKind.Held,
         };
         const { startedAt, objectiveAt, deadlineAt } = call;
-        const planned = { callId: head.callId, route, service, startedAt, objectiveAt, deadlineAt };
+        const { isInner } = call.offer;
+        const planned = { callId: head.callId, route, service, isInner, startedAt, objectiveAt, deadlineAt };
         const plan = new CallPlan(services, planned, this.answerSizes.get(route.name) ?? 0);
         const end = await new CallerCall(call, plan, options).run();
         this.record(call, service, end);
--- a/daemons/sidecar/src/tasks/targetTask.ts
+++ b/daemons/sidecar/src/tasks/targetTask.ts
@@ -5,6 +5,7 @@
     type OfferDecision,
     OfferDecisionKind,
     type QueueEvent,
+    type RetryBudgets,
     RunResult,
     type TargetQueue,
 } from "@bilberrycroft/coordination.forwarding";
@@ -32,6 +33,7 @@
     readonly queue: TargetQueue;
     readonly target: OwnTarget;
     readonly quarantine: Quarantine;
+    readonly budgets: RetryBudgets;
     readonly client: TargetClient;
     readonly codec: CallHeaderCodec;
     readonly log: EventLog;
@@ -211,6 +213,7 @@
 
     private async carry(key: string, { incoming, deadlineAt }: PendingOffer, body: Buffer): Promise<void> {
         const { offer } = incoming.message;
+        this.options.budgets.targetRuns(offer.isRepeat);
         const call = new TargetCall({ incoming, body, deadlineAt }, this.services);
         incoming.observe({
             proceeded: () => undefined,
--- a/protocol/forwarding/src/frames.ts
+++ b/protocol/forwarding/src/frames.ts
@@ -72,14 +72,14 @@
         this.size += chunk.length;
         const frames: Frame[] = [];
         let length = this.nextLength();
-        while (length !== undefined && this.size >= length) {
-            if (length < headBytes || length > maxFrameBytes) {
-                return undefined;
+        while (length !== undefined && length >= headBytes && length <= maxFrameBytes) {
+            if (this.size < length) {
+                return frames;
             }
             frames.push(this.take(length));
             length = this.nextLength();
         }
-        return frames;
+        return length === undefined ? frames : undefined;
     }
 
     /** Length of the next frame with its length field, as soon as that is known. */
--- a/protocol/forwarding/src/messages.ts
+++ b/protocol/forwarding/src/messages.ts
@@ -30,6 +30,8 @@
     readonly isInner: boolean;
     /** The offer may only take a slot that is free. */
     readonly spareOnly: boolean;
+    /** Another target may have run the call already, or still runs it. */
+    readonly isRepeat: boolean;
     /** The call may run more than once. */
     readonly repeatable: boolean;
     /** Service beside which the call began. */
@@ -159,6 +161,7 @@
         bodyBytes,
         isInner: value.isInner === true,
         spareOnly: value.spareOnly === true,
+        isRepeat: value.isRepeat === true,
         repeatable: value.repeatable === true,
     };
 }
--- /dev/null
+++ b/protocol/forwarding/test/frames.test.ts
@@ -0,0 +1,63 @@
+import { encodeFrame, encodeMessage, FrameKind, FrameReader, parseAnswerHead, parseLoss, parseNodeEntry, parseNodeReport, parseOfferMessage, parseRefusal } from "@bilberrycroft/protocol.forwarding";
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+
+describe("frames", () => {
+    it("arrive as they were sent, however the bytes are cut", () => {
+        const frames = fc.array(fc.record({
+            kind: fc.constantFrom(FrameKind.Offer, FrameKind.Body, FrameKind.AnswerData),
+            offer: fc.integer({ min: 0, max: 0xffffffff }),
+            payload: fc.uint8Array({ maxLength: 300 }),
+        }), { maxLength: 20 });
+        fc.assert(fc.property(frames, fc.array(fc.integer({ min: 1, max: 50 }), { minLength: 1 }), (sent, cuts) => {
+            const bytes = Buffer.concat(sent.map(({ kind, offer, payload }) => encodeFrame(kind, offer, Buffer.from(payload))));
+            const reader = new FrameReader();
+            const received: unknown[] = [];
+            for (let start = 0, cut = 0; start < bytes.length; cut++) {
+                const end = start + (cuts[cut % cuts.length] ?? 1);
+                received.push(...reader.push(bytes.subarray(start, end)) ?? []);
+                start = end;
+            }
+            expect(received).toEqual(sent.map(({ kind, offer, payload }) => ({ kind, offer, payload: Buffer.from(payload) })));
+        }), { seed: 3, numRuns: 200 });
+    });
+
+    it("refuse bytes that are no frames", () => {
+        expect(new FrameReader().push(Buffer.from("GET / HTTP/1.1\r\n"))).toBeUndefined();
+        expect(new FrameReader().push(Buffer.from([0, 0, 0, 1, 1]))).toBeUndefined();
+    });
+});
+
+describe("messages of other processes", () => {
+    const parsers = { parseOfferMessage, parseRefusal, parseLoss, parseAnswerHead, parseNodeReport };
+    it.each(Object.entries(parsers))("are refused by %s when they are malformed, and never throw", (_name, parse) => {
+        fc.assert(fc.property(fc.jsonValue(), value => {
+            const frame = encodeMessage(FrameKind.Offer, 1, value);
+            expect(parse(frame.subarray(9))).toBeUndefined();
+        }), { seed: 5, numRuns: 200 });
+        expect(parse(Buffer.from([0xff, 0x00]))).toBeUndefined();
+    });
+
+    it("name no target if any field is missing or of another type", () => {
+        const target = { id: "i", service: "s", slots: 2, phase: "ready", startedAt: 1, coldUntil: 0 };
+        const entry = { node: "n", zone: "z", address: "10.0.0.1:80", target, crashes: [] };
+        expect(parseNodeEntry(entry)).toEqual(entry);
+        const damaged: unknown[] = [
+            undefined,
+            [],
+            "text",
+            ...Object.keys(entry).filter(key => key !== "crashes" && key !== "target").map(key => ({ ...entry, [key]: 5 })),
+            ...Object.keys(target).map(key => ({ ...entry, target: { ...target, [key]: undefined } })),
+            { ...entry, target: { ...target, phase: "else" } },
+            { ...entry, target: { ...target, slots: "2" } },
+            { ...entry, target: [] },
+        ];
+        damaged.forEach(value => expect(parseNodeEntry(value)).toBeUndefined());
+    });
+
+    it("carry crashes as far as they are well formed", () => {
+        const crash = { fingerprint: "f", target: "t", at: 1, startedAt: 0 };
+        const entry = { node: "n", zone: "z", address: "10.0.0.1:80", crashes: [crash, { fingerprint: 5 }, "x"] };
+        expect(parseNodeEntry(entry)?.crashes).toEqual([crash]);
+    });
+});
