Tell inner calls from callers' calls by the call that they belong to, and a reset from an ordinary end

Change: an inner call is one whose identifier names a call that runs in the own target; it inherits that call's urgency, and its place in the retry budget. ConnectionEnding in transport.calls.

--- a/coordination/forwarding/src/callPlan.ts
+++ b/coordination/forwarding/src/callPlan.ts
@@ -17,8 +17,8 @@
     readonly callId: string;
     readonly route: Route;
     readonly service: string;
-    /** A target made the call in the course of another one. */
-    readonly isInner: boolean;
+    /** A target made the call in the course of a run that was itself a repeat. */
+    readonly isOfRepeat: boolean;
     readonly startedAt: Milliseconds;
     readonly objectiveAt: Milliseconds;
     readonly deadlineAt: Milliseconds;
@@ -165,7 +165,7 @@
 
     /** The first offer. */
     start(): PlanAction[] {
-        this.services.budgets.callStarted(this.call.service, this.call.isInner);
+        this.services.budgets.callStarted(this.call.service, this.call.isOfRepeat);
         return this.offerNext(false, false) ?? this.endWithoutAnswer();
     }
 
--- a/coordination/forwarding/src/retryBudgets.ts
+++ b/coordination/forwarding/src/retryBudgets.ts
@@ -28,25 +28,22 @@
 /** Part of the bound that is used. The rest covers calls that count elsewhere and nodes that joined unseen. */
 const usedPart = 0.8;
 
-/** Runs after which older ones count half in the rate of calls that a run makes. */
-const rateMemoryRuns = 256;
-
 /** Budgets of one node. */
 export class RetryBudgets {
     private readonly budgets = new Map<string, Budget>();
-    private readonly innerCalls = new Map<string, number>();
     private readonly startedAt: Milliseconds;
-    private runs = 0;
 
     constructor(private readonly options: RetryBudgetsOptions) {
         this.startedAt = options.clock.now();
     }
 
-    /** Counts a call for the service; `isInner` if the own target made it in the course of another call. */
-    callStarted(service: string, isInner: boolean): void {
-        this.budgetOf(service).callStarted(this.options.clock.now());
-        if (isInner) {
-            this.innerCalls.set(service, (this.innerCalls.get(service) ?? 0) + 1);
+    /** Counts a call for the service; `isOfRepeat` if a repeated run of the own target made it. */
+    callStarted(service: string, isOfRepeat: boolean): void {
+        const now = this.options.clock.now();
+        const budget = this.budgetOf(service);
+        budget.callStarted(now);
+        if (isOfRepeat) {
+            budget.charge(1, now);
         }
     }
 
@@ -59,19 +56,6 @@
         return this.budgetOf(service).trySpendWithAllowance(allowance, clock.now());
     }
 
-    /** Counts a run of the own target. A repeated one is charged with the calls that a run usually makes. */
-    targetRuns(isRepeat: boolean): void {
-        this.runs++;
-        if (isRepeat) {
-            const now = this.options.clock.now();
-            this.innerCalls.forEach((calls, service) => this.budgetOf(service).charge(calls / this.runs, now));
-        }
-        if (this.runs >= rateMemoryRuns) {
-            this.runs /= 2;
-            this.innerCalls.forEach((calls, service) => this.innerCalls.set(service, calls / 2));
-        }
-    }
-
     private budgetOf(service: string): Budget {
         const known = this.budgets.get(service);
         if (known !== undefined) {
--- a/coordination/forwarding/test/callPlan.test.ts
+++ b/coordination/forwarding/test/callPlan.test.ts
@@ -59,7 +59,7 @@
             callId: "call",
             route,
             service: "s",
-            isInner: false,
+            isOfRepeat: false,
             startedAt,
             objectiveAt: startedAt + 300,
             deadlineAt: startedAt + 1_000,
--- a/coordination/forwarding/test/retryBudgets.test.ts
+++ b/coordination/forwarding/test/retryBudgets.test.ts
@@ -51,14 +51,9 @@
     it("charges the calls that repeated runs of the own target make to the services that are called", () => {
         const budgets = createBudgets(1);
         clock.advance(windowMs);
-        for (let runs = 0; runs < 100; runs++) {
-            budgets.targetRuns(false);
-            budgets.callStarted("below", true);
+        for (let calls = 0; calls < 100; calls++) {
+            budgets.callStarted("below", calls < 15);
         }
-        const allowed = 0.8 * (bound.share * 100 + bound.allowance);
-        for (let repeats = 0; repeats < 20; repeats++) {
-            budgets.targetRuns(true);
-        }
-        expect(spendAll(budgets, "below")).toBeLessThanOrEqual(allowed - 15);
+        expect(spendAll(budgets, "below")).toBeLessThanOrEqual(0.8 * (bound.share * 100 + bound.allowance) - 15);
     });
 });
--- a/daemons/sidecar/src/calls/callerCall.ts
+++ b/daemons/sidecar/src/calls/callerCall.ts
@@ -40,6 +40,8 @@
     readonly headers: PassedHeaders;
     readonly body: Buffer;
     readonly hasBody: boolean;
+    /** The call of the own target in the course of which this one is made. */
+    readonly parent: Offer | undefined;
     readonly callId: string;
     readonly route: string;
     readonly version: number;
--- a/daemons/sidecar/src/calls/targetCall.ts
+++ b/daemons/sidecar/src/calls/targetCall.ts
@@ -151,7 +151,7 @@
     }
 
     /** Passes the answer on as it arrives; whether all of it did. */
-    private async passOn({ status, headers, response }: AnswerEvent): Promise<boolean> {
+    private async passOn({ status, headers, response, wasReset }: AnswerEvent): Promise<boolean> {
         const { incoming } = this.call;
         incoming.startAnswer({
             status,
@@ -168,10 +168,11 @@
             response.on("end", () => resolve(response.complete));
             response.on("close", () => resolve(false));
         });
-        if (isComplete) {
-            incoming.end();
+        if (!isComplete || await wasReset()) {
+            return false;
         }
-        return isComplete;
+        incoming.end();
+        return true;
     }
 
     private broke(reason: string): void {
--- a/daemons/sidecar/src/ports.ts
+++ b/daemons/sidecar/src/ports.ts
@@ -12,6 +12,8 @@
 export interface CallerHead {
     /** Identifier of the caller's attempt. */
     readonly callId: string;
+    /** Identifier of the call in the course of which a target makes this one, if the identifiers tell. */
+    readonly parentCallId: string | undefined;
     /** How long the caller waits; `undefined` if it does not say. */
     readonly waitMs: Milliseconds | undefined;
 }
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -14,6 +14,7 @@
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import type { Random } from "@bilberrycroft/core.random";
 import { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
+import type { Offer } from "@bilberrycroft/protocol.forwarding";
 import type { Route, RouteTable } from "@bilberrycroft/state.routes";
 import { BodyOutcomeKind, readBody } from "@bilberrycroft/transport.calls";
 import { copyHeaders } from "@bilberrycroft/transport.forwarding";
@@ -28,8 +29,8 @@
     readonly budgets: RetryBudgets;
     readonly quarantine: Quarantine;
     readonly metrics: CallMetrics;
-    /** IP number of this host, by which calls of its target are told from those of its callers. */
-    readonly hostIp: string;
+    /** The call with this identifier if it runs in the target beside this node now. */
+    runningCall(callId: string): Offer | undefined;
     /** Service beside this node. */
     readonly service: string;
 }
@@ -138,8 +139,8 @@
             mayRepeat: () => options.quarantine.check(call.offer.fingerprint).kind !== QuarantineDecisionKind.Held,
         };
         const { startedAt, objectiveAt, deadlineAt } = call;
-        const { isInner } = call.offer;
-        const planned = { callId: head.callId, route, service, isInner, startedAt, objectiveAt, deadlineAt };
+        const isOfRepeat = call.parent?.isRepeat === true;
+        const planned = { callId: head.callId, route, service, isOfRepeat, startedAt, objectiveAt, deadlineAt };
         const plan = new CallPlan(services, planned, this.answerSizes.get(route.name) ?? 0);
         const end = await new CallerCall(call, plan, options).run();
         this.record(call, service, end);
@@ -158,12 +159,14 @@
             bodyDigest: createHash("sha256").update(body).digest("base64url"),
         });
         const acknowledgeMs = acknowledgePart * route.latencyObjectiveMs;
+        const parent = head.parentCallId === undefined ? undefined : options.runningCall(head.parentCallId);
         return {
             request,
             response,
             headers: copyHeaders(request.headers, name => name === "content-length" || name === "expect"),
             body,
             hasBody,
+            parent,
             callId: head.callId,
             route: route.name,
             version: table.version,
@@ -174,8 +177,9 @@
             acknowledgeMs: Math.max(shortestAcknowledgeMs, Math.min(longestAcknowledgeMs, acknowledgeMs)),
             offer: {
                 route: route.name,
-                priority: route.priority,
-                isInner: request.socket.remoteAddress === options.hostIp,
+                // A call below another one is as urgent as that one.
+                priority: parent?.priority ?? route.priority,
+                isInner: parent !== undefined,
                 repeatable: route.repeatable,
                 callerService: options.service,
                 callId: head.callId,
--- a/daemons/sidecar/src/tasks/targetTask.ts
+++ b/daemons/sidecar/src/tasks/targetTask.ts
@@ -5,7 +5,6 @@
     type OfferDecision,
     OfferDecisionKind,
     type QueueEvent,
-    type RetryBudgets,
     RunResult,
     type TargetQueue,
 } from "@bilberrycroft/coordination.forwarding";
@@ -33,7 +32,6 @@
     readonly queue: TargetQueue;
     readonly target: OwnTarget;
     readonly quarantine: Quarantine;
-    readonly budgets: RetryBudgets;
     readonly client: TargetClient;
     readonly codec: CallHeaderCodec;
     readonly log: EventLog;
@@ -63,6 +61,8 @@
 /** Offers and running calls of one target. */
 export class TargetTask {
     private readonly pending = new Map<string, PendingOffer>();
+    /** Calls that run in the target, by the caller's identifier. */
+    private readonly running = new Map<string, Offer>();
     private readonly services: TargetServices;
     private timer: NodeJS.Timeout | undefined;
     private queueTimer: NodeJS.Timeout | undefined;
@@ -123,6 +123,11 @@
         }
     }
 
+    /** The call with this identifier if it runs in the target now. */
+    runningCall(callId: string): Offer | undefined {
+        return this.running.get(callId);
+    }
+
     /** What this node tells of itself. */
     report(route: string): NodeReport {
         return { load: this.options.queue.load(route), state: this.options.stateMark() };
@@ -213,7 +218,7 @@
 
     private async carry(key: string, { incoming, deadlineAt }: PendingOffer, body: Buffer): Promise<void> {
         const { offer } = incoming.message;
-        this.options.budgets.targetRuns(offer.isRepeat);
+        this.running.set(offer.callId, offer);
         const call = new TargetCall({ incoming, body, deadlineAt }, this.services);
         incoming.observe({
             proceeded: () => undefined,
@@ -225,6 +230,7 @@
             },
         });
         const result = await call.run();
+        this.running.delete(offer.callId);
         if (result === RunResult.Answered) {
             this.options.quarantine.completed(offer.fingerprint);
         }
--- a/transport/calls/src/targetClient.ts
+++ b/transport/calls/src/targetClient.ts
@@ -31,6 +31,8 @@
         readonly status: number;
         readonly headers: IncomingHttpHeaders;
         readonly response: IncomingMessage;
+        /** Whether the connection that ended a body without a length was reset; to be asked after the body's end. */
+        wasReset(): Promise<boolean>;
     }
     | { readonly kind: AttemptEventKind.ConnectFailed; readonly reason: string }
     | { readonly kind: AttemptEventKind.Broken; readonly reason: string }
@@ -143,7 +145,9 @@
 function observeAttempt(clientRequest: ClientRequest, connection: Connection): Promise<AttemptEvent> {
     return new Promise(resolve => {
         let answer: IncomingMessage | undefined;
+        const ending = new ConnectionEnding();
         clientRequest.on("response", response => {
+            ending.watch(response);
             answer = response;
             response.on("error", () => undefined);
             const status = response.statusCode ?? 0;
@@ -156,6 +160,7 @@
                 status,
                 headers: response.headers,
                 response,
+                wasReset: () => ending.wasReset(),
             });
         });
         clientRequest.on("error", error => {
@@ -169,6 +174,31 @@
     });
 }
 
+/**
+ * Tells a reset from an ordinary end of the connection, for bodies that end with it.
+ *
+ * When a reset arrives right behind bytes, the event loop reports the end of the stream in its place. A write then
+ * fails, while a connection that the peer has closed in order still takes it; a line break before a request means
+ * nothing in HTTP.
+ */
+class ConnectionEnding {
+    private probed: Promise<boolean> = Promise.resolve(false);
+
+    watch(response: IncomingMessage): void {
+        const { socket, headers } = response;
+        if (headers["content-length"] === undefined && headers["transfer-encoding"] === undefined) {
+            // Before Node's own listener, which closes the writing side.
+            socket.prependOnceListener("end", () => {
+                this.probed = new Promise(resolve => socket.write("\r\n", error => resolve(Boolean(error))));
+            });
+        }
+    }
+
+    wasReset(): Promise<boolean> {
+        return this.probed;
+    }
+}
+
 /** No byte can have reached the target before its connection was made. */
 function classifyFailure(error: Error, connected: boolean): AttemptEvent {
     if (error instanceof CancelledAttempt) {
