--- a/coordination/forwarding/test/callPlan.test.ts
+++ b/coordination/forwarding/test/callPlan.test.ts
@@ -32,6 +32,13 @@
 const overloaded: AttemptEnd = { kind: AttemptEndKind.Refused, reason: CallReason.Overloaded, retryAfterMs: 90 };
 const notRun: AttemptEnd = { kind: AttemptEndKind.NotRun, reason: CallReason.TargetRefused, retryAfterMs: 0 };
 
+const runEnds: readonly AttemptEnd[] = [
+    notRun,
+    { kind: AttemptEndKind.Lost },
+    { kind: AttemptEndKind.Failed },
+    { kind: AttemptEndKind.Answered },
+];
+
 describe("CallPlan", () => {
     let clock: ManualClock;
     let budgets: RetryBudgets;
@@ -77,7 +84,8 @@
             spendBudget();
             const plan = createPlan(route);
             plan.start();
-            expect(plan.attemptEnded(1, { kind: AttemptEndKind.Unreachable })).toMatchObject([{ kind: PlanActionKind.Offer, attempt: 2 }]);
+            expect(plan.attemptEnded(1, { kind: AttemptEndKind.Unreachable }))
+                .toMatchObject([{ kind: PlanActionKind.Offer, attempt: 2 }]);
             expect(plan.attemptEnded(2, overloaded)).toMatchObject([{ kind: PlanActionKind.Offer, attempt: 3 }]);
             expect(plan.attemptEnded(3, overloaded)).toEqual([
                 { kind: PlanActionKind.Refuse, reason: CallReason.Overloaded, retryAfterMs: 90 },
@@ -88,7 +96,8 @@
             const plan = createPlan(onceRoute);
             plan.start();
             expect(kinds(plan.queued(1))).toEqual([PlanActionKind.WakeAt]);
-            expect(plan.secondTargetDue()).toMatchObject([{ kind: PlanActionKind.Offer, attempt: 2, spareOnly: true, isRepeat: false }]);
+            expect(plan.secondTargetDue())
+                .toMatchObject([{ kind: PlanActionKind.Offer, attempt: 2, spareOnly: true, isRepeat: false }]);
             expect(kinds(plan.granted(2))).toEqual([PlanActionKind.Proceed, PlanActionKind.Withdraw]);
             expect(plan.granted(1)).toEqual([{ kind: PlanActionKind.Withdraw, attempt: 1 }]);
         });
@@ -150,7 +159,8 @@
             plan.granted(1);
             expect(kinds(plan.attemptEnded(1, { kind: AttemptEndKind.Failed }))).toEqual([PlanActionKind.Offer]);
             plan.granted(2);
-            expect(plan.attemptEnded(2, { kind: AttemptEndKind.Lost })).toEqual([{ kind: PlanActionKind.Answer, attempt: 1 }]);
+            expect(plan.attemptEnded(2, { kind: AttemptEndKind.Lost }))
+                .toEqual([{ kind: PlanActionKind.Answer, attempt: 1 }]);
         });
     });
 
@@ -158,7 +168,8 @@
         it("says at the deadline whether the call may have run", () => {
             const waiting = createPlan(onceRoute);
             waiting.start();
-            expect(waiting.deadlinePassed()[0]).toMatchObject({ kind: PlanActionKind.Refuse, reason: CallReason.DeadlinePassed });
+            expect(waiting.deadlinePassed()[0])
+                .toMatchObject({ kind: PlanActionKind.Refuse, reason: CallReason.DeadlinePassed });
             const running = createPlan(onceRoute);
             running.start();
             running.granted(1);
@@ -177,7 +188,12 @@
         });
 
         it("never says that a call did not run after it has proceeded without the target's word, whatever happens", () => {
-            const events = fc.array(fc.record({ event: fc.nat({ max: 7 }), attempt: fc.integer({ min: 1, max: 4 }), ms: fc.nat({ max: 200 }) }), { maxLength: 25 });
+            const event = fc.record({
+                event: fc.nat({ max: 7 }),
+                attempt: fc.integer({ min: 1, max: 4 }),
+                ms: fc.nat({ max: 200 }),
+            });
+            const events = fc.array(event, { maxLength: 25 });
             fc.assert(fc.property(events, fc.boolean(), (steps, isRepeatable) => {
                 const plan = createPlan(isRepeatable ? repeatableRoute : onceRoute);
                 const open = new Set<number>();
@@ -226,7 +242,7 @@
                         }
                         open.delete(attempt);
                         const end: AttemptEnd = isRunning
-                            ? [notRun, { kind: AttemptEndKind.Lost } as const, { kind: AttemptEndKind.Failed } as const, { kind: AttemptEndKind.Answered } as const][event % 4] ?? notRun
+                            ? runEnds[event % runEnds.length] ?? notRun
                             : event % 2 === 0 ? overloaded : { kind: AttemptEndKind.Unreachable };
                         if (end.kind === AttemptEndKind.NotRun) {
                             unknown.delete(attempt);
--- a/coordination/forwarding/test/targetQueue.test.ts
+++ b/coordination/forwarding/test/targetQueue.test.ts
@@ -7,6 +7,7 @@
 import { type OfferedCall, OfferDecisionKind, RunResult, TargetQueue } from "@bilberrycroft/coordination.forwarding";
 
 const seed = 7;
+const leaving = { slots: 2, availability: TargetAvailability.Leaving };
 const serving = { slots: 2, availability: TargetAvailability.Serving };
 
 describe("TargetQueue", () => {
@@ -49,7 +50,10 @@
 
         it("never runs more calls than slots, whatever happens", () => {
             fc.assert(fc.property(
-                fc.array(fc.record({ step: fc.integer({ min: 0, max: 5 }), pick: fc.nat(), isInner: fc.boolean() }), { maxLength: 80 }),
+                fc.array(
+                    fc.record({ step: fc.integer({ min: 0, max: 5 }), pick: fc.nat(), isInner: fc.boolean() }),
+                    { maxLength: 80 },
+                ),
                 steps => {
                     const manual = new ManualClock();
                     const tested = new TargetQueue({ clock: manual, random: createSeededRandom(seed) });
@@ -80,7 +84,7 @@
                                 tested.expire();
                                 break;
                             default:
-                                tested.setTarget(pick % 4 === 0 ? { ...serving, availability: TargetAvailability.Leaving } : serving);
+                                tested.setTarget(pick % 4 === 0 ? leaving : serving);
                         }
                         expect(tested.runningCalls).toBeLessThanOrEqual(serving.slots);
                     }
@@ -102,7 +106,8 @@
             const started: string[] = [];
             let running = ids;
             while (running.length > 0) {
-                const granted = running.flatMap(id => queue.finished(id, RunResult.Cancelled)).map(({ callId }) => callId);
+                const events = running.flatMap(id => queue.finished(id, RunResult.Cancelled));
+                const granted = events.map(({ callId }) => callId);
                 started.push(...granted);
                 running = granted;
             }
@@ -142,7 +147,8 @@
             for (let waiting = 0; waiting < 15; waiting++) {
                 queue.offer(call());
             }
-            expect(queue.offer(call({ isInner: true, objectiveAt: clock.now() + 1 })).kind).toBe(OfferDecisionKind.Queued);
+            const inner = call({ isInner: true, objectiveAt: clock.now() + 1 });
+            expect(queue.offer(inner).kind).toBe(OfferDecisionKind.Queued);
         });
 
         it("refuses a queued call once it can no longer end in time, without a run", () => {
--- a/daemons/sidecar/src/calls/callerCall.ts
+++ b/daemons/sidecar/src/calls/callerCall.ts
@@ -13,6 +13,7 @@
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import { assertNever } from "@bilberrycroft/core.errors";
 import type { EventLog } from "@bilberrycroft/core.eventLog";
+import type { Random } from "@bilberrycroft/core.random";
 import { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
 import type { AnswerHead, NodeReport, Offer, PassedHeaders, Refusal, StateMark } from "@bilberrycroft/protocol.forwarding";
 import type { OfferInProgress, PeerClient } from "@bilberrycroft/transport.forwarding";
@@ -27,6 +28,7 @@
     readonly codec: CallHeaderCodec;
     readonly directory: TargetDirectory;
     readonly log: EventLog;
+    readonly random: Random;
     /** Newest state of this node. */
     stateMark(): StateMark;
     /** Takes the newest state of another node. */
@@ -361,15 +363,25 @@
         retryAfterMs: Milliseconds | undefined,
     ): void {
         const { call, services } = this;
-        const longestMs = Math.max(0, call.deadlineAt - services.clock.now()) / retryAfterPart;
         sendOwnResponse(call.response, services.codec, {
             callId: call.callId,
             reason,
-            retryAfterMs: retryAfterMs === undefined ? undefined : Math.min(retryAfterMs, longestMs),
+            retryAfterMs: retryAfterMs === undefined ? undefined : this.spreadRetryAfter(retryAfterMs),
         });
         this.end(endWithoutAnswer(outcome, reason));
     }
 
+    /**
+     * An overload lasts longer than one queue takes to drain, so a caller is told to use most of the time for which it
+     * waits; the random part keeps refused callers from returning together.
+     */
+    private spreadRetryAfter(retryAfterMs: Milliseconds): Milliseconds {
+        const { clock, random } = this.services;
+        const longestMs = Math.max(0, this.call.deadlineAt - clock.now()) / retryAfterPart;
+        const spreadMs = longestMs * (1 + random.nextFraction()) / 2;
+        return Math.min(longestMs, Math.max(retryAfterMs, spreadMs));
+    }
+
     private end(end: Omit<CallEnd, "attempts">): void {
         this.timers.forEach(timer => clearTimeout(timer));
         this.timers.clear();
--- a/protocol/forwarding/test/frames.test.ts
+++ b/protocol/forwarding/test/frames.test.ts
@@ -4,13 +4,14 @@
 
 describe("frames", () => {
     it("arrive as they were sent, however the bytes are cut", () => {
-        const frames = fc.array(fc.record({
+        const anyFrames = fc.array(fc.record({
             kind: fc.constantFrom(FrameKind.Offer, FrameKind.Body, FrameKind.AnswerData),
             offer: fc.integer({ min: 0, max: 0xffffffff }),
             payload: fc.uint8Array({ maxLength: 300 }),
         }), { maxLength: 20 });
-        fc.assert(fc.property(frames, fc.array(fc.integer({ min: 1, max: 50 }), { minLength: 1 }), (sent, cuts) => {
-            const bytes = Buffer.concat(sent.map(({ kind, offer, payload }) => encodeFrame(kind, offer, Buffer.from(payload))));
+        fc.assert(fc.property(anyFrames, fc.array(fc.integer({ min: 1, max: 50 }), { minLength: 1 }), (sent, cuts) => {
+            const frames = sent.map(({ kind, offer, payload }) => ({ kind, offer, payload: Buffer.from(payload) }));
+            const bytes = Buffer.concat(frames.map(({ kind, offer, payload }) => encodeFrame(kind, offer, payload)));
             const reader = new FrameReader();
             const received: unknown[] = [];
             for (let start = 0, cut = 0; start < bytes.length; cut++) {
@@ -18,7 +19,7 @@
                 received.push(...reader.push(bytes.subarray(start, end)) ?? []);
                 start = end;
             }
-            expect(received).toEqual(sent.map(({ kind, offer, payload }) => ({ kind, offer, payload: Buffer.from(payload) })));
+            expect(received).toEqual(frames);
         }), { seed: 3, numRuns: 200 });
     });
 
