--- a/coordination/forwarding/src/targetDirectory.ts
+++ b/coordination/forwarding/src/targetDirectory.ts
@@ -113,10 +113,11 @@
         return this.records.get(node)?.isTrusted === true;
     }
 
-    /** Nodes that did not respond and are to be asked again now. */
+    /** Nodes that did not respond and are to be asked again now; not those whose targets leave anyway. */
     dueProbes(): readonly NodeEntry[] {
         const now = this.options.clock.now();
-        return [...this.records.values()].filter(record => record.isProbeDue(now)).map(record => record.entry);
+        const due = [...this.records.values()].filter(record => record.isProbeDue(now));
+        return due.map(record => record.entry).filter(({ target }) => target?.phase === TargetPhase.Ready);
     }
 
     /** The cheapest target; `undefined` if none is left. Distrusted nodes are taken only if there is no other. */
--- a/coordination/forwarding/src/targetQueue.ts
+++ b/coordination/forwarding/src/targetQueue.ts
@@ -80,17 +80,11 @@
 const lateShare = 0.25;
 const shortestRetryAfterMs: Milliseconds = 50;
 const longestRetryAfterMs: Milliseconds = 1_000;
-/** Weight of the latest wait in the factor of waits, and the bound of the factor. */
-const waitFactorGain = 0.1;
-const longestWaitFactor = 5;
 /** Weight of the latest end in the share of failures. */
 const failureGain = 0.08;
 
 interface QueuedCall {
     readonly call: OfferedCall;
-    readonly queuedAt: Milliseconds;
-    /** Wait that was expected by the rate of the slots alone. */
-    readonly plainWaitMs: Milliseconds;
     /** From then on the call can not end in time. */
     readonly refuseAt: Milliseconds;
 }
@@ -108,8 +102,6 @@
     private slots = 0;
     private availability = TargetAvailability.Down;
     private failureShare = 0;
-    /** Waits of recent calls relative to what was expected of them. */
-    private waitFactor = 1;
 
     constructor(private readonly options: TargetQueueOptions) {}
 
@@ -149,12 +141,7 @@
         if (now + expectedWaitMs + this.expectedRunMs(call) > this.latestEnd(call, now)) {
             return this.refuse(call, CallReason.Overloaded);
         }
-        this.queue.push({
-            call,
-            queuedAt: now,
-            plainWaitMs: this.plainWaitMs(call),
-            refuseAt: this.latestEnd(call, now) - this.expectedRunMs(call),
-        });
+        this.queue.push({ call, refuseAt: this.latestEnd(call, now) - this.expectedRunMs(call) });
         return { kind: OfferDecisionKind.Queued, callId: call.callId, expectedWaitMs };
     }
 
@@ -188,7 +175,6 @@
             return [];
         }
         this.queue = this.queue.filter(({ refuseAt }) => now < refuseAt);
-        expired.forEach(queued => this.waited(queued, now));
         return expired.map(({ call }) => this.refuse(call, CallReason.Overloaded));
     }
 
@@ -237,9 +223,7 @@
                 best = index;
             }
         }
-        const queued = this.queue.splice(best, 1)[0] as QueuedCall;
-        this.waited(queued, now);
-        return queued.call;
+        return (this.queue.splice(best, 1)[0] as QueuedCall).call;
     }
 
     /** Inner calls first, then by priority, then those that can still meet their objective, the most pressing first. */
@@ -271,19 +255,8 @@
         return this.runTimes.expectedMs(call.route);
     }
 
-    /** Calls that arrive later and go first make waits longer than the queue at their start tells. */
+    /** Time until a slot is free for the call, counting the calls that would go first. */
     private expectedWaitMs(call: OfferedCall): Milliseconds {
-        return this.waitFactor * this.plainWaitMs(call);
-    }
-
-    private waited({ queuedAt, plainWaitMs }: QueuedCall, now: Milliseconds): void {
-        const factor = (now - queuedAt) / Math.max(plainWaitMs, 1);
-        const bounded = Math.min(longestWaitFactor, Math.max(1, factor));
-        this.waitFactor += waitFactorGain * (bounded - this.waitFactor);
-    }
-
-    /** Time until a slot is free for the call, counting the calls that would go first now. */
-    private plainWaitMs(call: OfferedCall): Milliseconds {
         const ahead = this.queue.filter(({ call: other }) =>
             other.isInner || (!call.isInner && other.priority <= call.priority));
         return (ahead.length + 1) * this.runTimes.meanMs / Math.max(1, this.slots);
--- /dev/null
+++ b/coordination/forwarding/test/targetDirectory.test.ts
@@ -0,0 +1,134 @@
+import { ManualClock } from "@bilberrycroft/core.clock";
+import { createSeededRandom } from "@bilberrycroft/core.random";
+import { type CandidateRequest, TargetDirectory } from "@bilberrycroft/coordination.forwarding";
+import { type NodeEntry, TargetAvailability, type TargetLoad, TargetPhase } from "@bilberrycroft/protocol.forwarding";
+import type { Route } from "@bilberrycroft/state.routes";
+import { beforeEach, describe, expect, it } from "vitest";
+
+const route: Route = {
+    name: "r",
+    host: "h",
+    pathPrefix: "/",
+    services: [{ service: "s", weight: 1 }],
+    timeoutMs: 1_000,
+    latencyObjectiveMs: 300,
+    maxTargets: 2,
+    priority: 1,
+    repeatable: true,
+};
+const createEntry = (node: string, zone: string, phase = TargetPhase.Ready): NodeEntry => ({
+    node,
+    zone,
+    address: `${node}:1`,
+    target: { id: `t-${node}`, service: "s", slots: 4, phase, startedAt: 1, coldUntil: 0 },
+    crashes: [],
+});
+const createLoad = (changes: Partial<TargetLoad> = {}): TargetLoad => ({
+    availability: TargetAvailability.Serving,
+    running: 0,
+    queued: 0,
+    slots: 4,
+    runTimeMs: 50,
+    meanRunTimeMs: 50,
+    failureShare: 0,
+    ...changes,
+});
+
+describe("TargetDirectory", () => {
+    let clock: ManualClock;
+    let directory: TargetDirectory;
+
+    beforeEach(() => {
+        clock = new ManualClock();
+        directory = new TargetDirectory({ clock, random: createSeededRandom(9), zone: "own" });
+        directory.setEntries([createEntry("a", "own"), createEntry("b", "own"), createEntry("c", "far")]);
+    });
+
+    const choose = (changes: Partial<CandidateRequest> = {}): string | undefined =>
+        directory.choose({ service: "s", route, exclude: new Set(), answerBytes: 1_000, ...changes })?.node;
+    const chooseMany = (changes: Partial<CandidateRequest> = {}): ReadonlySet<string | undefined> =>
+        new Set(Array.from({ length: 50 }, () => choose(changes)));
+
+    describe("zones", () => {
+        it("stays in its own zone while that is in time", () => {
+            expect(chooseMany()).toEqual(new Set(["a", "b"]));
+        });
+
+        it("leaves it for small answers when its targets are full, and not for large ones yet", () => {
+            for (const node of ["a", "b"]) {
+                directory.loadHeard(node, createLoad({ running: 4, queued: 4 }));
+            }
+            expect(chooseMany()).toEqual(new Set(["c"]));
+            expect(chooseMany({ answerBytes: 100_000 })).toEqual(new Set(["a", "b"]));
+        });
+
+        it("leaves it for large answers too when they would be late", () => {
+            for (const node of ["a", "b"]) {
+                directory.loadHeard(node, createLoad({ running: 4, queued: 40 }));
+            }
+            expect(chooseMany({ answerBytes: 100_000 })).toEqual(new Set(["c"]));
+        });
+    });
+
+    describe("observations", () => {
+        it("avoids a slow target, and tries it again as the observation ages", () => {
+            directory.loadHeard("a", createLoad({ runTimeMs: 400 }), "r");
+            directory.loadHeard("b", createLoad(), "r");
+            expect(chooseMany()).toEqual(new Set(["b"]));
+            directory.loadHeard("b", createLoad({ running: 3 }), "r");
+            clock.advance(20_000);
+            expect(chooseMany().has("a")).toBe(true);
+        });
+
+        it("avoids a target that fails calls while it looks healthy", () => {
+            directory.loadHeard("a", createLoad({ failureShare: 0.5 }), "r");
+            directory.loadHeard("b", createLoad(), "r");
+            expect(chooseMany()).toEqual(new Set(["b"]));
+        });
+
+        it("spreads its own calls over targets by what it has in them", () => {
+            for (let call = 0; call < 8; call++) {
+                directory.offered(choose() ?? "", `call-${call}`);
+            }
+            expect(chooseMany().has("c")).toBe(true);
+        });
+    });
+
+    describe("trust", () => {
+        it("leaves out a node that did not respond until a probe succeeds", () => {
+            expect(directory.distrust("a")).toBe(true);
+            expect(directory.distrust("a")).toBe(false);
+            expect(chooseMany()).toEqual(new Set(["b"]));
+            expect(directory.dueProbes()).toEqual([]);
+            clock.advance(250);
+            expect(directory.dueProbes().map(({ node }) => node)).toEqual(["a"]);
+            directory.loadHeard("a", createLoad());
+            expect(chooseMany()).toEqual(new Set(["a", "b"]));
+        });
+
+        it("leaves out a target whose node says that it is down or leaves", () => {
+            directory.loadHeard("a", createLoad({ availability: TargetAvailability.Down }));
+            expect(chooseMany()).toEqual(new Set(["b"]));
+        });
+
+        it("takes distrusted nodes when there are no others", () => {
+            ["a", "b", "c"].forEach(node => directory.distrust(node));
+            expect(choose()).toBeDefined();
+        });
+
+        it("neither chooses nor probes targets that announced that they leave", () => {
+            directory.distrust("a");
+            directory.setEntries([createEntry("a", "own", TargetPhase.Draining), createEntry("b", "own")]);
+            clock.advance(5_000);
+            expect(chooseMany()).toEqual(new Set(["b"]));
+            expect(directory.dueProbes()).toEqual([]);
+        });
+
+        it("forgets what it knew of a node's earlier target", () => {
+            directory.loadHeard("a", createLoad({ failureShare: 1 }), "r");
+            const entry = createEntry("a", "own");
+            directory.setEntries([{ ...entry, target: { ...createEntry("new", "own").target, id: "t-new" } as NodeEntry["target"] }, createEntry("b", "own")]);
+            expect(chooseMany()).toEqual(new Set(["a", "b"]));
+        });
+    });
+});
--- a/daemons/sidecar/src/calls/callerCall.ts
+++ b/daemons/sidecar/src/calls/callerCall.ts
@@ -13,7 +13,6 @@
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import { assertNever } from "@bilberrycroft/core.errors";
 import type { EventLog } from "@bilberrycroft/core.eventLog";
-import type { Random } from "@bilberrycroft/core.random";
 import { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
 import type { AnswerHead, NodeReport, Offer, PassedHeaders, Refusal, StateMark } from "@bilberrycroft/protocol.forwarding";
 import type { OfferInProgress, PeerClient } from "@bilberrycroft/transport.forwarding";
@@ -28,7 +27,6 @@
     readonly codec: CallHeaderCodec;
     readonly directory: TargetDirectory;
     readonly log: EventLog;
-    readonly random: Random;
     /** Newest state of this node. */
     stateMark(): StateMark;
     /** Takes the newest state of another node. */
@@ -74,6 +72,8 @@
     readonly address: string;
     readonly target: string;
     readonly offeredAt: Milliseconds;
+    /** Time that was expected until the answer when the target was chosen. */
+    readonly expectedMs: Milliseconds;
     isGranted: boolean;
     answer: IncomingAnswer | undefined;
     acknowledgeTimer: NodeJS.Timeout | undefined;
@@ -189,6 +189,7 @@
             address: candidate.address,
             target: candidate.target,
             offeredAt: now,
+            expectedMs: candidate.costMs,
             isGranted: false,
             answer: undefined,
             acknowledgeTimer: setTimeout(() => this.notAcknowledged(attempt), call.acknowledgeMs),
@@ -363,25 +364,15 @@
         retryAfterMs: Milliseconds | undefined,
     ): void {
         const { call, services } = this;
+        const longestMs = Math.max(0, call.deadlineAt - services.clock.now()) / retryAfterPart;
         sendOwnResponse(call.response, services.codec, {
             callId: call.callId,
             reason,
-            retryAfterMs: retryAfterMs === undefined ? undefined : this.spreadRetryAfter(retryAfterMs),
+            retryAfterMs: retryAfterMs === undefined ? undefined : Math.min(retryAfterMs, longestMs),
         });
         this.end(endWithoutAnswer(outcome, reason));
     }
 
-    /**
-     * An overload lasts longer than one queue takes to drain, so a caller is told to use most of the time for which it
-     * waits; the random part keeps refused callers from returning together.
-     */
-    private spreadRetryAfter(retryAfterMs: Milliseconds): Milliseconds {
-        const { clock, random } = this.services;
-        const longestMs = Math.max(0, this.call.deadlineAt - clock.now()) / retryAfterPart;
-        const spreadMs = longestMs * (1 + random.nextFraction()) / 2;
-        return Math.min(longestMs, Math.max(retryAfterMs, spreadMs));
-    }
-
     private end(end: Omit<CallEnd, "attempts">): void {
         this.timers.forEach(timer => clearTimeout(timer));
         this.timers.clear();
@@ -407,6 +398,7 @@
             version: this.call.version,
             node: state.node,
             target: state.target,
+            expectedMs: Math.round(state.expectedMs),
             ageMs: Math.round(this.services.clock.now() - state.offeredAt),
         };
     }
--- a/daemons/sidecar/src/calls/incomingAnswer.ts
+++ b/daemons/sidecar/src/calls/incomingAnswer.ts
@@ -12,6 +12,8 @@
 /** Bytes that may wait for a caller that reads slowly. */
 const maxWaitingBytes = 16_777_216;
 
+const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
+
 /** An answer in progress. */
 export class IncomingAnswer {
     private readonly parts: Buffer[] = [];
@@ -56,7 +58,7 @@
             return;
         }
         const headers: PassedHeaders = { ...this.head.headers };
-        if (method !== "HEAD") {
+        if (method !== "HEAD" && !statusesWithoutBody.has(this.head.status)) {
             headers["content-length"] = String(this.size);
         }
         response.writeHead(this.head.status, headers);
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -12,6 +12,7 @@
 } from "@bilberrycroft/coordination.forwarding";
 import { type Quarantine, QuarantineDecisionKind } from "@bilberrycroft/coordination.quarantine";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
+import type { Random } from "@bilberrycroft/core.random";
 import { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
 import type { Offer } from "@bilberrycroft/protocol.forwarding";
 import type { Route, RouteTable } from "@bilberrycroft/state.routes";
@@ -24,6 +25,7 @@
 
 /** Options of a `CallerTask`. */
 export interface CallerTaskOptions extends CallerServices {
+    readonly random: Random;
     readonly budgets: RetryBudgets;
     readonly quarantine: Quarantine;
     readonly metrics: CallMetrics;
--- a/daemons/sidecar/src/tasks/targetTask.ts
+++ b/daemons/sidecar/src/tasks/targetTask.ts
@@ -267,8 +267,22 @@
     }
 
     private refuse(incoming: IncomingOffer, reason: CallReason, retryAfterMs: Milliseconds): void {
-        const { route } = incoming.message.offer;
-        incoming.refuse({ reason, retryAfterMs: Math.ceil(retryAfterMs), report: this.report(route) });
+        const { route, callId, target, priority } = incoming.message.offer;
+        const report = this.report(route);
+        const { running, queued, slots, availability, meanRunTimeMs } = report.load;
+        this.options.log.info("offer-refused", {
+            call: callId,
+            route,
+            target,
+            reason,
+            priority,
+            running,
+            queued,
+            slots,
+            availability,
+            meanRunTimeMs: Math.round(meanRunTimeMs),
+        });
+        incoming.refuse({ reason, retryAfterMs: Math.ceil(retryAfterMs), report });
     }
 
     private connectionBroke(broken: BrokenConnection): void {
