Hear the state of other nodes from probes, and tell crashes by the time of the break

Cause: after a zone is cut off, connections that survive it stay silent until their next retransmission; probes of other nodes come back first and carried a state that nobody read. A crash was dated when it was judged, so the repeat that followed it seemed to have begun before it. Change: probes hand the state on; crashes carry the time at which the connection broke.

--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -94,7 +94,12 @@
         });
         this.target = this.createTargetTask(ownTarget);
         this.callers = this.createCallerTask();
-        this.probes = new ProbeTask({ directory, client: this.peerClient, log });
+        this.probes = new ProbeTask({
+            directory,
+            client: this.peerClient,
+            log,
+            stateHeard: mark => this.stateHeard(mark),
+        });
         this.connectTasks();
     }
 
@@ -241,15 +246,18 @@
     }
 
     private mergeCrashes({ node, crashes }: NodeEntry): void {
-        if (crashes.length > 0 && node !== this.options.settings.node) {
-            this.quarantine.mergeReports(crashes.map(crash => ({ kind: QuarantineReportKind.Crash, node, ...crash })));
+        if (crashes.length === 0 || node === this.options.settings.node) {
+            return;
+        }
+        this.quarantine.mergeReports(crashes.map(crash => ({ kind: QuarantineReportKind.Crash, node, ...crash })));
+        for (const { fingerprint, target, at } of crashes) {
+            this.options.log.info("crashes-learned", { from: node, fingerprint, target, at });
         }
     }
 
     private targetCrashed(crashes: readonly AnnouncedCrash[]): void {
-        const wallTime = this.clock.wallTime();
         for (const { target, at, fingerprint, startedAt } of crashes) {
-            const ageMs = Math.max(0, wallTime - startedAt);
+            const ageMs = Math.max(0, at - startedAt);
             this.quarantine.targetCrashed({ target, at, inFlight: [{ fingerprint, ageMs }] });
         }
         this.registration.addCrashes(crashes);
--- a/daemons/sidecar/src/tasks/probeTask.ts
+++ b/daemons/sidecar/src/tasks/probeTask.ts
@@ -4,7 +4,7 @@
 import type { TargetDirectory } from "@bilberrycroft/coordination.forwarding";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import type { EventLog } from "@bilberrycroft/core.eventLog";
-import type { NodeEntry } from "@bilberrycroft/protocol.forwarding";
+import type { NodeEntry, StateMark } from "@bilberrycroft/protocol.forwarding";
 import type { PeerClient } from "@bilberrycroft/transport.forwarding";
 
 /** Options of a `ProbeTask`. */
@@ -12,6 +12,8 @@
     readonly directory: TargetDirectory;
     readonly client: PeerClient;
     readonly log: EventLog;
+    /** Takes the newest state of another node: after a cut, probes hear of it before calls do. */
+    stateHeard(mark: StateMark): void;
 }
 
 const tickMs: Milliseconds = 200;
@@ -51,6 +53,7 @@
             return;
         }
         directory.loadHeard(node, report.load);
+        this.options.stateHeard(report.state);
         if (directory.isTrusted(node)) {
             log.info("node-trusted", { node, availability: report.load.availability });
         }
--- a/daemons/sidecar/src/tasks/targetTask.ts
+++ b/daemons/sidecar/src/tasks/targetTask.ts
@@ -58,6 +58,11 @@
     bodyTimer: NodeJS.Timeout | undefined;
 }
 
+interface BreakInTime extends BrokenConnection {
+    /** Wall time at which the connection broke. */
+    readonly at: Milliseconds;
+}
+
 /** Offers and running calls of one target. */
 export class TargetTask {
     private readonly pending = new Map<string, PendingOffer>();
@@ -68,7 +73,7 @@
     private queueTimer: NodeJS.Timeout | undefined;
     private offerCount = 0;
     private isLeaving = false;
-    private broken: BrokenConnection[] = [];
+    private broken: BreakInTime[] = [];
     private believed = "";
 
     constructor(private readonly options: TargetTaskOptions) {
@@ -286,7 +291,7 @@
     }
 
     private connectionBroke(broken: BrokenConnection): void {
-        this.broken.push(broken);
+        this.broken.push({ ...broken, at: this.options.clock.wallTime() });
         if (this.broken.length === 1) {
             setTimeout(() => void this.judgeBroken(), crashProbeDelayMs);
         }
@@ -296,15 +301,14 @@
     private async judgeBroken(): Promise<void> {
         const { broken } = this;
         this.broken = [];
-        const { clock, target, targetAddress, log } = this.options;
+        const { target, targetAddress, log } = this.options;
         if (await probeListener(targetAddress)) {
             return;
         }
         target.connectionRefused();
         this.believe();
         log.warn("target-crashed", { target: broken[0]?.target, calls: broken.length });
-        const at = clock.wallTime();
-        this.options.targetCrashed(broken.map(({ fingerprint, target: crashed, ageMs }) =>
+        this.options.targetCrashed(broken.map(({ fingerprint, target: crashed, ageMs, at }) =>
             ({ fingerprint, target: crashed, at, startedAt: at - ageMs })));
     }
 }
