--- a/coordination/forwarding/src/callPlan.ts
+++ b/coordination/forwarding/src/callPlan.ts
@@ -14,13 +14,10 @@
 
 /** A call that a node carries for its caller. */
 export interface PlannedCall {
-    readonly callId: string;
     readonly route: Route;
     readonly service: string;
     /** A target made the call in the course of a run that was itself a repeat. */
     readonly isOfRepeat: boolean;
-    readonly startedAt: Milliseconds;
-    readonly objectiveAt: Milliseconds;
     readonly deadlineAt: Milliseconds;
 }
 
--- a/coordination/forwarding/src/targetDirectory.ts
+++ b/coordination/forwarding/src/targetDirectory.ts
@@ -83,11 +83,6 @@
         return this.records.size;
     }
 
-    /** Whether any target of the service is known. */
-    knows(service: string): boolean {
-        return (this.byService.get(service)?.length ?? 0) > 0;
-    }
-
     offered(node: string, callId: string): void {
         this.records.get(node)?.offered(callId);
     }
--- a/coordination/forwarding/src/targetQueue.ts
+++ b/coordination/forwarding/src/targetQueue.ts
@@ -117,11 +117,6 @@
         return refused;
     }
 
-    /** Forgets failures and run times, which belong to a target that is gone. */
-    targetReplaced(): void {
-        this.failureShare = 0;
-    }
-
     /** Decides for a new offer. */
     offer(call: OfferedCall): OfferDecision {
         if (this.availability !== TargetAvailability.Serving) {
--- a/coordination/forwarding/test/callPlan.test.ts
+++ b/coordination/forwarding/test/callPlan.test.ts
@@ -15,19 +15,9 @@
 import type { Route } from "@bilberrycroft/state.routes";
 import fc from "fast-check";
 import { beforeEach, describe, expect, it } from "vitest";
+import { repeatableRoute } from "./fixtures";
 
 const windowMs = 10_000;
-const repeatableRoute: Route = {
-    name: "r",
-    host: "h",
-    pathPrefix: "/",
-    services: [{ service: "s", weight: 1 }],
-    timeoutMs: 1_000,
-    latencyObjectiveMs: 300,
-    maxTargets: 2,
-    priority: 1,
-    repeatable: true,
-};
 const onceRoute: Route = { ...repeatableRoute, repeatable: false };
 const overloaded: AttemptEnd = { kind: AttemptEndKind.Refused, reason: CallReason.Overloaded, retryAfterMs: 90 };
 const notRun: AttemptEnd = { kind: AttemptEndKind.NotRun, reason: CallReason.TargetRefused, retryAfterMs: 0 };
@@ -61,15 +51,11 @@
 
     const createPlan = (route: Route, mayRepeat = true): CallPlan => {
         const services = { clock, directory, budgets, latencies: new RouteLatencyTable(), mayRepeat: () => mayRepeat };
-        const startedAt = clock.now();
         return new CallPlan(services, {
-            callId: "call",
             route,
             service: "s",
             isOfRepeat: false,
-            startedAt,
-            objectiveAt: startedAt + 300,
-            deadlineAt: startedAt + 1_000,
+            deadlineAt: clock.now() + 1_000,
         }, 100);
     };
     const kinds = (actions: readonly PlanAction[]): PlanActionKind[] => actions.map(({ kind }) => kind);
--- a/coordination/forwarding/test/targetDirectory.test.ts
+++ b/coordination/forwarding/test/targetDirectory.test.ts
@@ -2,20 +2,9 @@
 import { createSeededRandom } from "@bilberrycroft/core.random";
 import { type CandidateRequest, TargetDirectory } from "@bilberrycroft/coordination.forwarding";
 import { type NodeEntry, TargetAvailability, type TargetLoad, TargetPhase } from "@bilberrycroft/protocol.forwarding";
-import type { Route } from "@bilberrycroft/state.routes";
 import { beforeEach, describe, expect, it } from "vitest";
+import { repeatableRoute as route } from "./fixtures";
 
-const route: Route = {
-    name: "r",
-    host: "h",
-    pathPrefix: "/",
-    services: [{ service: "s", weight: 1 }],
-    timeoutMs: 1_000,
-    latencyObjectiveMs: 300,
-    maxTargets: 2,
-    priority: 1,
-    repeatable: true,
-};
 const createEntry = (node: string, zone: string, phase = TargetPhase.Ready): NodeEntry => ({
     node,
     zone,
--- a/coordination/forwarding/test/weightedShares.test.ts
+++ b/coordination/forwarding/test/weightedShares.test.ts
@@ -2,17 +2,11 @@
 import { WeightedShares } from "@bilberrycroft/coordination.forwarding";
 import type { Route } from "@bilberrycroft/state.routes";
 import { describe, expect, it } from "vitest";
+import { repeatableRoute } from "./fixtures";
 
 const createRoute = (weights: readonly number[]): Route => ({
-    name: "r",
-    host: "h",
-    pathPrefix: "/",
+    ...repeatableRoute,
     services: weights.map((weight, index) => ({ service: `s${index}`, weight })),
-    timeoutMs: 1_000,
-    latencyObjectiveMs: 300,
-    maxTargets: 2,
-    priority: 1,
-    repeatable: true,
 });
 const count = (shares: WeightedShares, route: Route, calls: number): number[] => {
     const counts = route.services.map(() => 0);
--- a/daemons/sidecar/src/ports.ts
+++ b/daemons/sidecar/src/ports.ts
@@ -27,13 +27,6 @@
     readonly remainingMs: Milliseconds;
 }
 
-/** Load that a target reports itself. */
-export interface ReportedTargetLoad {
-    readonly running: number;
-    readonly waiting: number;
-    readonly slots: number;
-}
-
 /** What the head of a target's answer says. */
 export interface TargetAnswerHead {
     /** Call that the answer belongs to, as far as the target says it. */
@@ -44,7 +37,6 @@
     readonly isNotRun: boolean;
     /** The body is not what the target wrote. */
     readonly isEncoded: boolean;
-    readonly load: ReportedTargetLoad | undefined;
 }
 
 /** What a response says that the node makes itself. */
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -69,8 +69,9 @@
 
     constructor(private readonly options: SidecarOptions) {
         const { settings, platform, log } = options;
-        const { clock, directory, random } = this.createBase();
-        this.random = random;
+        const { clock } = this;
+        this.random = createSeededRandom(options.seed ?? randomInt(largestSeed));
+        const directory = new TargetDirectory({ clock, random: this.random, zone: settings.zone });
         this.directory = directory;
         this.quarantine = new Quarantine({ node: settings.node, clock });
         this.budgets = new RetryBudgets({ clock, bound: settings.retryBudget, countNodes: () => directory.size });
@@ -162,13 +163,6 @@
         return this.close();
     }
 
-    private createBase(): { readonly clock: Clock; readonly directory: TargetDirectory; readonly random: Random } {
-        const { settings, seed } = this.options;
-        const random = createSeededRandom(seed ?? randomInt(largestSeed));
-        const directory = new TargetDirectory({ clock: this.clock, random, zone: settings.zone });
-        return { clock: this.clock, random, directory };
-    }
-
     private createCollectionTask(
         name: string,
         collection: MeshPlatform["nodes"],
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -138,9 +138,7 @@
             latencies: this.latencies,
             mayRepeat: () => options.quarantine.check(call.offer.fingerprint).kind !== QuarantineDecisionKind.Held,
         };
-        const { startedAt, objectiveAt, deadlineAt } = call;
-        const isOfRepeat = call.parent?.isRepeat === true;
-        const planned = { callId: head.callId, route, service, isOfRepeat, startedAt, objectiveAt, deadlineAt };
+        const planned = { route, service, isOfRepeat: call.parent?.isRepeat === true, deadlineAt: call.deadlineAt };
         const plan = new CallPlan(services, planned, this.answerSizes.get(route.name) ?? 0);
         const end = await new CallerCall(call, plan, options).run();
         this.record(call, service, end);
