--- a/coordination/forwarding/src/callPlan.ts
+++ b/coordination/forwarding/src/callPlan.ts
@@ -9,6 +9,7 @@
 import { RouteLatencies } from "@bilberrycroft/coordination.retries";
 import { CallReason } from "@bilberrycroft/protocol.calls";
 import type { Route } from "@bilberrycroft/state.routes";
+import { makeRoomFor } from "./boundedMap";
 import type { RetryBudgets } from "./retryBudgets";
 import type { TargetCandidate, TargetDirectory } from "./targetDirectory";
 
@@ -124,9 +125,7 @@
         if (known !== undefined) {
             return known;
         }
-        if (this.routes.size >= maxRoutes) {
-            this.routes.delete(this.routes.keys().next().value as string);
-        }
+        makeRoomFor(this.routes, route, maxRoutes);
         const created = new RouteLatencies();
         this.routes.set(route, created);
         return created;
--- a/coordination/forwarding/src/peerRecord.ts
+++ b/coordination/forwarding/src/peerRecord.ts
@@ -3,6 +3,7 @@
  */
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import { type NodeEntry, TargetAvailability, type TargetLoad } from "@bilberrycroft/protocol.forwarding";
+import { makeRoomFor } from "./boundedMap";
 
 /** Time after which a load report says little: with usual rates several newer calls have ended by then. */
 const loadLifetimeMs: Milliseconds = 1_000;
@@ -68,9 +69,7 @@
         const others = Math.max(0, load.running + load.queued - this.offers.size);
         this.observation = { load, at: now, others };
         if (route !== undefined) {
-            if (!this.runTimes.has(route) && this.runTimes.size >= maxRoutes) {
-                this.runTimes.delete(this.runTimes.keys().next().value as string);
-            }
+            makeRoomFor(this.runTimes, route, maxRoutes);
             this.runTimes.set(route, { runTimeMs: load.runTimeMs, at: now });
         }
         if (load.availability === TargetAvailability.Serving) {
--- a/coordination/forwarding/src/runTimes.ts
+++ b/coordination/forwarding/src/runTimes.ts
@@ -2,6 +2,7 @@
  * Run times of one target's calls, by route and over all routes.
  */
 import type { Milliseconds } from "@bilberrycroft/core.clock";
+import { makeRoomFor } from "./boundedMap";
 
 /** Weight of a new sample: the estimate follows a target that turns slow within about ten calls. */
 const gain = 0.1;
@@ -19,9 +20,7 @@
     add(route: string, runTimeMs: Milliseconds): void {
         this.mean = average(this.mean, runTimeMs);
         const before = this.byRoute.get(route);
-        if (before === undefined && this.byRoute.size >= maxRoutes) {
-            this.byRoute.delete(this.byRoute.keys().next().value as string);
-        }
+        makeRoomFor(this.byRoute, route, maxRoutes);
         this.byRoute.set(route, average(before, runTimeMs));
     }
 
--- a/coordination/forwarding/src/weightedShares.ts
+++ b/coordination/forwarding/src/weightedShares.ts
@@ -6,6 +6,7 @@
  */
 import type { Random } from "@bilberrycroft/core.random";
 import type { Route, WeightedService } from "@bilberrycroft/state.routes";
+import { makeRoomFor } from "./boundedMap";
 
 interface ShareState {
     readonly services: readonly WeightedService[];
@@ -38,9 +39,7 @@
         if (known !== undefined && hasSameShares(known.services, route.services)) {
             return known;
         }
-        if (this.states.size >= maxRoutes) {
-            this.states.delete(this.states.keys().next().value as string);
-        }
+        makeRoomFor(this.states, route.name, maxRoutes);
         const created: ShareState = { services: route.services, credits: route.services.map(() => 0) };
         for (let steps = this.random.nextInteger(longestCycle); steps > 0; steps--) {
             step(created);
--- a/protocol/forwarding/src/messages.ts
+++ b/protocol/forwarding/src/messages.ts
@@ -6,10 +6,9 @@
  * elsewhere, with calls that may not be repeated too.
  */
 import type { Milliseconds } from "@bilberrycroft/core.clock";
-import { parseJson } from "@bilberrycroft/core.json";
+import { isNumber, isRecord, isText, parseJson, type UncheckedFields } from "@bilberrycroft/core.json";
 import { CallReason } from "@bilberrycroft/protocol.calls";
 import { parseTargetLoad, type TargetLoad } from "./targetLoad";
-import { isNumber, isRecord, isText, type UncheckedFields } from "./unchecked";
 
 /** Headers of a message that is passed on. */
 export type PassedHeaders = Record<string, string | string[]>;
--- a/protocol/forwarding/src/targetEntry.ts
+++ b/protocol/forwarding/src/targetEntry.ts
@@ -2,7 +2,7 @@
  * What a node announces of itself and of its target in the platform store.
  */
 import type { Milliseconds } from "@bilberrycroft/core.clock";
-import { isNumber, isRecord, isText } from "./unchecked";
+import { isNumber, isRecord, isText } from "@bilberrycroft/core.json";
 
 /** Phases of a target's life, as it announces them. */
 export enum TargetPhase {
--- a/protocol/forwarding/src/targetLoad.ts
+++ b/protocol/forwarding/src/targetLoad.ts
@@ -2,7 +2,7 @@
  * Load of a target as its node reports it with each response.
  */
 import type { Milliseconds } from "@bilberrycroft/core.clock";
-import { isNumber, isRecord } from "./unchecked";
+import { isNumber, isRecord } from "@bilberrycroft/core.json";
 
 /** Whether a target takes calls. */
 export enum TargetAvailability {
--- a/transport/calls/src/listener.ts
+++ b/transport/calls/src/listener.ts
@@ -21,8 +21,6 @@
     readonly requestTimeoutMs: Milliseconds;
     /** Bound on the headers of a request; 16 KiB by default. */
     readonly maxHeaderBytes?: number;
-    /** Time after which an idle connection is closed; 30 s by default. */
-    readonly idleTimeoutMs?: Milliseconds;
     handle(request: IncomingMessage, response: ServerResponse): void;
 }
 
@@ -48,7 +46,7 @@
         maxHeaderSize: options.maxHeaderBytes ?? defaultMaxHeaderBytes,
         headersTimeout: Math.min(headersTimeoutMs, options.requestTimeoutMs),
         requestTimeout: options.requestTimeoutMs,
-        keepAliveTimeout: options.idleTimeoutMs ?? defaultIdleTimeoutMs,
+        keepAliveTimeout: defaultIdleTimeoutMs,
         noDelay: true,
     }, (request, response) => {
         if (stopping) {
