Let two readers in each zone spare the store the watches of all other nodes

Cause: each node watched the store for itself, two watches a node and two calls a node for each change. Ruled out: reads that may be stale, since a configuration is due within seconds; a longer gather time, which only delays changes. Change: SourceSelection ranks the nodes of a zone (processors, then a hash of the name); the first two that are heard to read the store do, all others follow them over node connections and fetch patches of the configuration and changes of the table. Readers also follow a node of each other zone. A node without a source reads for itself. Entries are parsed once for each revision. Found by the property test of ObjectTable: a removal that the reader saw together with the creation was not passed on; an object created anew was passed on as gone.

--- a/coordination/forwarding/test/callPlan.test.ts
+++ b/coordination/forwarding/test/callPlan.test.ts
@@ -42,6 +42,7 @@
             node,
             zone: "z",
             address: `${node}:1`,
+            processors: 1,
             target: { id: `t-${node}`, service: "s", slots: 4, phase: TargetPhase.Ready, startedAt: 1, coldUntil: 0 },
             crashes: [],
         })));
--- a/coordination/forwarding/test/targetDirectory.test.ts
+++ b/coordination/forwarding/test/targetDirectory.test.ts
@@ -9,6 +9,7 @@
     node,
     zone,
     address: `${node}:1`,
+    processors: 1,
     target: { id: `t-${node}`, service: "s", slots: 4, phase, startedAt: 1, coldUntil: 0 },
     crashes: [],
 });
--- a/coordination/registration/test/ownEntry.test.ts
+++ b/coordination/registration/test/ownEntry.test.ts
@@ -6,6 +6,7 @@
     node: "n",
     zone: "z",
     address: "a:1",
+    processors: 1,
     target: { id: "i", service: "s", slots: 2, phase, startedAt: 1, coldUntil: 0 },
     crashes: [],
 });
--- /dev/null
+++ b/coordination/relay/src/index.ts
@@ -0,0 +1,5 @@
+/**
+ * Passing the state of the platform's store on between nodes.
+ */
+export * from "./objectTable";
+export * from "./sourceSelection";
--- /dev/null
+++ b/coordination/relay/test/objectTable.test.ts
@@ -0,0 +1,77 @@
+import { ObjectTable, parseObjectChanges } from "@bilberrycroft/coordination.relay";
+import type { CollectionChange } from "@bilberrycroft/protocol.store";
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+
+const change = (name: string, revision: number, isRemoved = false): CollectionChange =>
+    ({ object: { name, revision, value: `${name} ${revision}` }, isRemoved });
+
+describe("ObjectTable", () => {
+    it("ends with the last change of each object in one watch", () => {
+        const table = new ObjectTable();
+        table.apply([change("a", 1), change("a", 2, true), change("b", 3), change("b", 4, true), change("b", 5)], 5);
+        expect([...table.objects.keys()]).toEqual(["b"]);
+    });
+
+    it("hands all objects to a node that has none, and to one that is behind its memory of removals", () => {
+        const table = new ObjectTable();
+        table.replaceAll([{ name: "a", revision: 3, value: 1 }], 7);
+        expect(table.changesSince(0)).toMatchObject({ base: 0, revision: 7, objects: [{ name: "a" }] });
+        expect(table.changesSince(5)).toMatchObject({ base: 0 });
+        expect(table.changesSince(7)).toMatchObject({ base: 7, objects: [], removed: [] });
+    });
+
+    it("ignores what is older than what it has, and changes since a revision that it does not know", () => {
+        const table = new ObjectTable();
+        table.replaceAll([{ name: "a", revision: 3, value: 1 }], 7);
+        expect(table.take({ base: 0, revision: 6, newestChange: 6, objects: [], removed: [] })).toBe(false);
+        expect(table.take({ base: 8, revision: 9, newestChange: 9, objects: [], removed: ["a"] })).toBe(false);
+        expect(table.objects.size).toBe(1);
+    });
+
+    it("agrees with the store, from whichever node and however late changes come", () => {
+        const step = fc.record({
+            name: fc.constantFrom("a", "b", "c", "d"),
+            isRemoved: fc.boolean(),
+            reader: fc.integer({ min: 0, max: 2 }),
+            follower: fc.integer({ min: 0, max: 2 }),
+        });
+        fc.assert(fc.property(fc.array(step, { maxLength: 60 }), steps => {
+            const history: CollectionChange[] = [];
+            const stored = new Map<string, number>();
+            const tables = [0, 1, 2].map(() => new ObjectTable());
+            const watch = (table: ObjectTable): void =>
+                table.apply(history.filter(({ object }) => object.revision > table.revision), history.length + 1);
+            for (const { name, isRemoved, reader, follower } of steps) {
+                const revision = history.length + 2;
+                history.push(change(name, revision, isRemoved));
+                if (isRemoved) {
+                    stored.delete(name);
+                }
+                else {
+                    stored.set(name, revision);
+                }
+                watch(tables[reader] as ObjectTable);
+                const to = tables[follower] as ObjectTable;
+                to.take((tables[reader] as ObjectTable).changesSince(to.revision));
+            }
+            for (const table of tables) {
+                watch(table);
+                expect(new Map([...table.objects].map(([name, object]) => [name, object.revision]))).toEqual(stored);
+            }
+        }), { seed: 11, numRuns: 2_000 });
+    });
+
+    it("refuses malformed changes whole", () => {
+        const valid = { base: 0, revision: 2, newestChange: 2, objects: [{ name: "a", revision: 1, value: 1 }], removed: ["b"] };
+        expect(parseObjectChanges(valid)).toEqual(valid);
+        const damaged: unknown[] = [
+            undefined,
+            "text",
+            ...Object.keys(valid).map(key => ({ ...valid, [key]: undefined })),
+            { ...valid, objects: [{ name: "a" }] },
+            { ...valid, removed: [1] },
+        ];
+        damaged.forEach(value => expect(parseObjectChanges(value)).toBeUndefined());
+    });
+});
--- a/daemons/sidecar/src/settings.ts
+++ b/daemons/sidecar/src/settings.ts
@@ -16,6 +16,8 @@
     readonly targetAddress: string;
     /** Service of the target beside this node. */
     readonly service: string;
+    /** Processor cores that this process may use, with fractions. */
+    readonly processors: number;
     readonly heartbeatIntervalMs: Milliseconds;
     /** Time from SIGTERM to SIGKILL. */
     readonly graceMs: Milliseconds;
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -6,14 +6,16 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { RetryBudgets, TargetDirectory, TargetQueue } from "@bilberrycroft/coordination.forwarding";
 import { Quarantine, QuarantineReportKind } from "@bilberrycroft/coordination.quarantine";
+import { SourceSelection } from "@bilberrycroft/coordination.relay";
 import { OwnTarget, type TargetDeparture, type TargetHeartbeat } from "@bilberrycroft/coordination.registration";
 import { type Clock, type Milliseconds, SystemClock } from "@bilberrycroft/core.clock";
 import type { EventLog } from "@bilberrycroft/core.eventLog";
 import { createSeededRandom, type Random } from "@bilberrycroft/core.random";
-import { type AnnouncedCrash, type NodeEntry, parseNodeEntry, type StateMark } from "@bilberrycroft/protocol.forwarding";
+import type { AnnouncedCrash, StateMark } from "@bilberrycroft/protocol.forwarding";
 import { type Listener, splitAddress, startListener, TargetClient } from "@bilberrycroft/transport.calls";
 import { type OfferListener, PeerClient, startOfferListener } from "@bilberrycroft/transport.forwarding";
 import { CallMetrics } from "./metrics";
+import { NodeTable } from "./nodeTable";
 import type { MeshPlatform } from "./ports";
 import type { SidecarSettings } from "./settings";
 import { CallerTask } from "./tasks/callerTask";
@@ -21,6 +23,7 @@
 import { ConfigurationTask } from "./tasks/configurationTask";
 import { ProbeTask } from "./tasks/probeTask";
 import { RegistrationTask } from "./tasks/registrationTask";
+import { RelayTask } from "./tasks/relayTask";
 import { TargetTask } from "./tasks/targetTask";
 
 /** Options of a `Sidecar`. */
@@ -63,6 +66,8 @@
     private readonly callers: CallerTask;
     private readonly target: TargetTask;
     private readonly probes: ProbeTask;
+    private readonly relay: RelayTask;
+    private readonly nodeTable = new NodeTable();
     private callerListener: Listener | undefined;
     private offerListener: OfferListener | undefined;
     private stopping: Promise<void> | undefined;
@@ -88,6 +93,7 @@
             node: settings.node,
             zone: settings.zone,
             offerAddress: settings.offerAddress,
+            processors: settings.processors,
             target: ownTarget,
             collection: platform.nodes,
             clock,
@@ -101,6 +107,15 @@
             log,
             stateHeard: mark => this.stateHeard(mark),
         });
+        this.relay = new RelayTask({
+            clock,
+            log,
+            selection: new SourceSelection({ clock, node: settings.node, zone: settings.zone }),
+            configurations: this.configurations,
+            configuration: this.configuration,
+            nodes: this.registry,
+            stateMark: () => this.stateMark(),
+        });
         this.connectTasks();
     }
 
@@ -119,8 +134,12 @@
             maxConnections,
             handle: offer => this.target.handleOffer(offer),
             report: () => this.target.report(""),
+            followed: follower => this.relay.addFollower(follower),
+            unfollowed: follower => this.relay.removeFollower(follower),
+            content: request => this.relay.content(request),
         });
         this.target.start();
+        this.relay.start();
         this.probes.start();
         this.configurations.start();
         this.registry.start();
@@ -215,6 +234,7 @@
         this.configuration.activations.subscribe(table => {
             this.callers.activate(table);
             this.callerListener?.setIdleTimeout(table.configuration.callerLimits.idleTimeoutMs);
+            this.relay.changed();
         });
         this.registry.contents.subscribe(content => {
             this.registration.take(content);
@@ -224,23 +244,18 @@
     }
 
     private takeEntries({ objects }: CollectionContent): void {
-        const entries: NodeEntry[] = [];
-        for (const { name, value } of objects.values()) {
-            const entry = parseNodeEntry(value);
-            if (entry === undefined || entry.node !== name) {
-                this.options.log.warn("entry-malformed", { name });
-                continue;
-            }
-            entries.push(entry);
-            this.mergeCrashes(entry);
-        }
+        const { entries, crashes, malformed } = this.nodeTable.take(objects);
+        malformed.forEach(name => this.options.log.warn("entry-malformed", { name }));
+        crashes.forEach(({ node, crashes: added }) => this.mergeCrashes(node, added));
         this.directory.setEntries(entries);
+        this.relay.setNodes(entries);
+        this.relay.changed();
         this.peerClient.retain(new Set(entries.map(({ address }) => address)));
         this.options.log.info("nodes-changed", { nodes: entries.length, revision: this.registry.newestRevision });
     }
 
-    private mergeCrashes({ node, crashes }: NodeEntry): void {
-        if (crashes.length === 0 || node === this.options.settings.node) {
+    private mergeCrashes(node: string, crashes: readonly AnnouncedCrash[]): void {
+        if (node === this.options.settings.node) {
             return;
         }
         this.quarantine.mergeReports(crashes.map(crash => ({ kind: QuarantineReportKind.Crash, node, ...crash })));
@@ -279,6 +294,7 @@
         const endsAt = startedAt + this.options.settings.graceMs - unusedGraceMs;
         this.callerListener?.announceStop();
         this.target.leave();
+        this.relay.leave();
         await sleep(Math.min(callersLeaveMs, endsAt - startedAt));
         const closed = this.callerListener?.stopAccepting();
         while (this.clock.now() < endsAt && (this.callers.inProgress > 0 || this.target.inProgress > 0)) {
@@ -292,6 +308,7 @@
     private async close(): Promise<void> {
         this.configurations.stop();
         this.registry.stop();
+        this.relay.stop();
         this.target.stop();
         this.probes.stop();
         this.peerClient.close();
--- a/daemons/sidecar/src/tasks/registrationTask.ts
+++ b/daemons/sidecar/src/tasks/registrationTask.ts
@@ -23,6 +23,8 @@
     readonly node: string;
     readonly zone: string;
     readonly offerAddress: string;
+    /** Processor cores of this process, with fractions. */
+    readonly processors: number;
     readonly target: OwnTarget;
     readonly collection: ObjectCollection;
     readonly clock: Clock;
@@ -120,9 +122,9 @@
 
     /** Brings the store's entry up to date; resolves when it is or when the node stops. */
     private announce(): Promise<void> {
-        const { node, zone, offerAddress, target } = this.options;
+        const { node, zone, offerAddress: address, processors, target } = this.options;
         if (target.announced !== undefined) {
-            this.entry.want({ node, zone, address: offerAddress, target: target.announced, crashes: this.crashes });
+            this.entry.want({ node, zone, address, processors, target: target.announced, crashes: this.crashes });
         }
         this.writing ??= this.writeUntilCurrent().finally(() => {
             this.writing = undefined;
--- a/protocol/forwarding/src/frames.ts
+++ b/protocol/forwarding/src/frames.ts
@@ -31,6 +31,14 @@
     Ask = 11,
     /** Target's node: responds to `Ask`. Payload: `NodeReport`. */
     Report = 12,
+    /** A node wants to hear the other one's state, now and after each change. */
+    Follow = 13,
+    /** To a node that follows: the own state. Payload: `PeerState`. */
+    State = 14,
+    /** From a node that follows: asks for content. Payload: `ContentRequest`. */
+    Fetch = 15,
+    /** Responds to `Fetch`. Payload: `encodeContent`. */
+    Content = 16,
 }
 
 /** One frame. */
--- a/protocol/forwarding/src/index.ts
+++ b/protocol/forwarding/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./frames";
 export * from "./messages";
+export * from "./relayMessages";
 export * from "./targetEntry";
 export * from "./targetLoad";
--- a/protocol/forwarding/src/messages.ts
+++ b/protocol/forwarding/src/messages.ts
@@ -91,7 +91,7 @@
 export function parseOfferMessage(payload: Buffer): OfferMessage | undefined {
     const fields = parseFields(payload);
     const offer = parseOffer(fields?.offer);
-    const state = parseState(fields?.state);
+    const state = parseStateMark(fields?.state);
     const headers = parseHeaders(fields?.headers);
     if (offer === undefined || state === undefined || headers === undefined
         || !isText(fields?.method) || !isText(fields.path)) {
@@ -133,7 +133,8 @@
     return parseReport(parseFields(payload));
 }
 
-function parseFields(payload: Buffer): UncheckedFields | undefined {
+/** Fields of a payload, not checked yet; `undefined` if it is no JSON object. */
+export function parseFields(payload: Buffer): UncheckedFields | undefined {
     const value = parseJson(payload.toString("utf8"));
     return isRecord(value) ? value : undefined;
 }
@@ -167,11 +168,12 @@
 
 function parseReport(value: unknown): NodeReport | undefined {
     const load = isRecord(value) ? parseTargetLoad(value.load) : undefined;
-    const state = isRecord(value) ? parseState(value.state) : undefined;
+    const state = isRecord(value) ? parseStateMark(value.state) : undefined;
     return load === undefined || state === undefined ? undefined : { load, state };
 }
 
-function parseState(value: unknown): StateMark | undefined {
+/** Parses a state mark. */
+export function parseStateMark(value: unknown): StateMark | undefined {
     return isRecord(value) && isNumber(value.configurationVersion) && isNumber(value.registryRevision)
         ? { configurationVersion: value.configurationVersion, registryRevision: value.registryRevision }
         : undefined;
--- a/protocol/forwarding/src/targetEntry.ts
+++ b/protocol/forwarding/src/targetEntry.ts
@@ -39,6 +39,8 @@
     readonly zone: string;
     /** `host:port` at which the node takes offers. */
     readonly address: string;
+    /** Processor cores that the node may use, with fractions. */
+    readonly processors: number;
     /** Absent while the node has no target that may be used. */
     readonly target: AnnouncedTarget | undefined;
     readonly crashes: readonly AnnouncedCrash[];
@@ -49,8 +51,8 @@
     if (!isRecord(value)) {
         return undefined;
     }
-    const { node, zone, address, target, crashes } = value;
-    if (!isText(node) || !isText(zone) || !isText(address) || !addressPattern.test(address)) {
+    const { node, zone, address, processors = defaultProcessors, target, crashes } = value;
+    if (!isText(node) || !isText(zone) || !isText(address) || !addressPattern.test(address) || !isNumber(processors)) {
         return undefined;
     }
     const parsedTarget = target === undefined ? undefined : parseTarget(target);
@@ -58,12 +60,14 @@
         return undefined;
     }
     const parsedCrashes = Array.isArray(crashes) ? crashes.slice(0, maxCrashes).flatMap(parseCrash) : [];
-    return { node, zone, address, target: parsedTarget, crashes: parsedCrashes };
+    return { node, zone, address, processors, target: parsedTarget, crashes: parsedCrashes };
 }
 
 /** Crashes that one entry carries at most, the newest last. */
 export const maxCrashes = 32;
 const maxSlots = 100_000;
+/** What an entry that does not tell is taken to have. */
+const defaultProcessors = 1;
 const addressPattern = /^[^\s:]+:\d{1,5}$/;
 
 function parseTarget(value: unknown): AnnouncedTarget | undefined {
--- a/protocol/forwarding/test/frames.test.ts
+++ b/protocol/forwarding/test/frames.test.ts
@@ -41,13 +41,13 @@
 
     it("name no target if any field is missing or of another type", () => {
         const target = { id: "i", service: "s", slots: 2, phase: "ready", startedAt: 1, coldUntil: 0 };
-        const entry = { node: "n", zone: "z", address: "10.0.0.1:80", target, crashes: [] };
+        const entry = { node: "n", zone: "z", address: "10.0.0.1:80", processors: 1, target, crashes: [] };
         expect(parseNodeEntry(entry)).toEqual(entry);
         const damaged: unknown[] = [
             undefined,
             [],
             "text",
-            ...Object.keys(entry).filter(key => key !== "crashes" && key !== "target").map(key => ({ ...entry, [key]: 5 })),
+            ...Object.keys(entry).filter(key => key !== "crashes" && key !== "target").map(key => ({ ...entry, [key]: key === "processors" ? "5" : 5 })),
             ...Object.keys(target).map(key => ({ ...entry, target: { ...target, [key]: undefined } })),
             { ...entry, target: { ...target, phase: "else" } },
             { ...entry, target: { ...target, slots: "2" } },
--- a/state/routes/src/check.ts
+++ b/state/routes/src/check.ts
@@ -1,6 +1,7 @@
 /**
  * Checks a configuration as a whole, so that none of it takes effect if any part is wrong.
  */
+import { createRouteKey } from "./patch";
 import type { MeshConfiguration, Route } from "./types";
 
 /** Why a configuration was refused. */
@@ -19,7 +20,7 @@
         problems.push({ part: "version", reason: "is not a positive whole number" });
     }
     for (const route of configuration.routes) {
-        const place = `${route.host} ${route.pathPrefix}`;
+        const place = createRouteKey(route);
         const reason = places.has(place) ? "has the host and prefix of another route" : findRouteProblem(route, services);
         places.add(place);
         if (reason !== undefined) {
--- a/state/routes/src/index.ts
+++ b/state/routes/src/index.ts
@@ -1,3 +1,4 @@
 export * from "./check";
+export * from "./patch";
 export * from "./routeTable";
 export * from "./types";
--- /dev/null
+++ b/state/routes/src/patch.ts
@@ -0,0 +1,109 @@
+/**
+ * Differences between two versions of a configuration. Most changes touch a few of many routes, so that a node that has
+ * the version before needs a small part of the whole only.
+ */
+import { isDeepStrictEqual } from "node:util";
+import { isNumber, isRecord, isText, type UncheckedFields } from "@bilberrycroft/core.json";
+import type { CallerLimits, MeshConfiguration, Route, Service, WeightedService } from "./types";
+
+/** What turns one version into another. */
+export interface ConfigurationPatch {
+    /** Version that the patch applies to; 0 if it holds the whole configuration. */
+    readonly base: number;
+    readonly version: number;
+    /** Routes that are new or changed. */
+    readonly routes: readonly Route[];
+    /** Keys (`createRouteKey`) of the routes that are gone. */
+    readonly removed: readonly string[];
+    readonly services: readonly Service[];
+    readonly callerLimits: CallerLimits;
+}
+
+/** Identifies a route: no two of one configuration have the same host and prefix. */
+export function createRouteKey({ host, pathPrefix }: Pick<Route, "host" | "pathPrefix">): string {
+    return `${host} ${pathPrefix}`;
+}
+
+/** The patch from one version to another; the whole configuration if there is no earlier one. */
+export function createConfigurationPatch(
+    before: MeshConfiguration | undefined,
+    after: MeshConfiguration,
+): ConfigurationPatch {
+    const { version, services, callerLimits } = after;
+    const known = new Map((before?.routes ?? []).map(route => [createRouteKey(route), route]));
+    const present = new Set(after.routes.map(createRouteKey));
+    return {
+        base: before?.version ?? 0,
+        version,
+        routes: after.routes.filter(route => !isDeepStrictEqual(known.get(createRouteKey(route)), route)),
+        removed: [...known.keys()].filter(key => !present.has(key)),
+        services,
+        callerLimits,
+    };
+}
+
+/** The patched configuration; `undefined` if the patch is for another version. */
+export function applyConfigurationPatch(
+    before: MeshConfiguration | undefined,
+    patch: ConfigurationPatch,
+): MeshConfiguration | undefined {
+    if (patch.base !== 0 && patch.base !== before?.version) {
+        return undefined;
+    }
+    const { version, services, callerLimits } = patch;
+    const kept = patch.base === 0 ? [] : before?.routes ?? [];
+    const routes = new Map(kept.map(route => [createRouteKey(route), route]));
+    patch.removed.forEach(key => routes.delete(key));
+    patch.routes.forEach(route => routes.set(createRouteKey(route), route));
+    return { version, routes: [...routes.values()], services, callerLimits };
+}
+
+/** Reads a patch that another node sent; `undefined` if any part is missing or of another type. */
+export function parseConfigurationPatch(value: unknown): ConfigurationPatch | undefined {
+    if (!isRecord(value) || !isNumber(value.base) || !isNumber(value.version)) {
+        return undefined;
+    }
+    const { base, version, removed } = value;
+    const routes = parseAll(value.routes, parseRoute);
+    const services = parseAll(value.services, parseService);
+    const callerLimits = parseCallerLimits(value.callerLimits);
+    const isWhole = Array.isArray(removed) && removed.every(isText);
+    return routes === undefined || services === undefined || callerLimits === undefined || !isWhole
+        ? undefined
+        : { base, version, routes, removed, services, callerLimits };
+}
+
+function parseAll<Part>(value: unknown, parse: (fields: UncheckedFields) => Part | undefined): Part[] | undefined {
+    if (!Array.isArray(value)) {
+        return undefined;
+    }
+    const parts = value.map(item => isRecord(item) ? parse(item) : undefined);
+    return parts.every(part => part !== undefined) ? parts : undefined;
+}
+
+function parseRoute(fields: UncheckedFields): Route | undefined {
+    const { name, host, pathPrefix, timeoutMs, latencyObjectiveMs, maxTargets, priority, repeatable } = fields;
+    const services = parseAll(fields.services, parseWeightedService);
+    return isText(name) && isText(host) && isText(pathPrefix) && services !== undefined && isNumber(timeoutMs)
+        && isNumber(latencyObjectiveMs) && isNumber(maxTargets) && isNumber(priority) && typeof repeatable === "boolean"
+        ? { name, host, pathPrefix, services, timeoutMs, latencyObjectiveMs, maxTargets, priority, repeatable }
+        : undefined;
+}
+
+function parseWeightedService({ service, weight }: UncheckedFields): WeightedService | undefined {
+    return isText(service) && isNumber(weight) ? { service, weight } : undefined;
+}
+
+function parseService({ name, maxConnections }: UncheckedFields): Service | undefined {
+    return isText(name) && isNumber(maxConnections) ? { name, maxConnections } : undefined;
+}
+
+function parseCallerLimits(value: unknown): CallerLimits | undefined {
+    if (!isRecord(value)) {
+        return undefined;
+    }
+    const { maxHeaderBytes, maxBodyBytes, headerTimeoutMs, idleTimeoutMs } = value;
+    return isNumber(maxHeaderBytes) && isNumber(maxBodyBytes) && isNumber(headerTimeoutMs) && isNumber(idleTimeoutMs)
+        ? { maxHeaderBytes, maxBodyBytes, headerTimeoutMs, idleTimeoutMs }
+        : undefined;
+}
--- a/state/routes/test/routes.test.ts
+++ b/state/routes/test/routes.test.ts
@@ -1,4 +1,15 @@
-import { findConfigurationProblems, type MeshConfiguration, type Route, RouteTable } from "@bilberrycroft/state.routes";
+import {
+    applyConfigurationPatch,
+    type ConfigurationPatch,
+    createConfigurationPatch,
+    createRouteKey,
+    findConfigurationProblems,
+    type MeshConfiguration,
+    parseConfigurationPatch,
+    type Route,
+    RouteTable,
+} from "@bilberrycroft/state.routes";
+import fc from "fast-check";
 import { describe, expect, it } from "vitest";
 
 const createRoute = (changes: Partial<Route> = {}): Route => ({
@@ -70,3 +81,63 @@
         expect(findConfigurationProblems(createConfiguration([], 0))).toHaveLength(1);
     });
 });
+
+describe("patches", () => {
+    const anyRoute = fc.record({
+        pathPrefix: fc.constantFrom("/a/", "/b/", "/c/", "/d/"),
+        timeoutMs: fc.integer({ min: 1, max: 3 }),
+        maxTargets: fc.integer({ min: 1, max: 2 }),
+    }).map(changes => createRoute(changes));
+    const anyRoutes = fc.uniqueArray(anyRoute, { selector: createRouteKey, maxLength: 4 });
+    const sortedRoutes = (configuration: MeshConfiguration | undefined): string[] =>
+        (configuration?.routes ?? []).map(route => JSON.stringify(route)).sort();
+
+    it("turn one version into the next, also after a trip as JSON", () => {
+        fc.assert(fc.property(anyRoutes, anyRoutes, (before, after) => {
+            const first = createConfiguration(before, 1);
+            const second = createConfiguration(after, 2);
+            const patch = parseConfigurationPatch(JSON.parse(JSON.stringify(createConfigurationPatch(first, second))));
+            expect(patch).toBeDefined();
+            const patched = applyConfigurationPatch(first, patch as ConfigurationPatch);
+            expect(patched?.version).toBe(2);
+            expect(sortedRoutes(patched)).toEqual(sortedRoutes(second));
+        }), { seed: 17, numRuns: 300 });
+    });
+
+    it("hold only the routes that changed", () => {
+        const kept = createRoute();
+        const patch = createConfigurationPatch(
+            createConfiguration([kept, createRoute({ pathPrefix: "/gone/" })], 1),
+            createConfiguration([kept, createRoute({ pathPrefix: "/new/" })], 2),
+        );
+        expect(patch.routes.map(({ pathPrefix }) => pathPrefix)).toEqual(["/new/"]);
+        expect(patch.removed).toEqual(["shop.example /gone/"]);
+    });
+
+    it("take no effect on another version than their base", () => {
+        const patch = createConfigurationPatch(createConfiguration([], 1), createConfiguration([], 3));
+        expect(applyConfigurationPatch(createConfiguration([], 2), patch)).toBeUndefined();
+        expect(applyConfigurationPatch(undefined, patch)).toBeUndefined();
+    });
+
+    it("give the whole configuration to a node without one", () => {
+        const whole = createConfigurationPatch(undefined, createConfiguration([createRoute()], 4));
+        expect(applyConfigurationPatch(undefined, whole)?.routes).toHaveLength(1);
+    });
+
+    it("are refused whole if any part is malformed", () => {
+        const whole = createConfigurationPatch(undefined, createConfiguration([createRoute()]));
+        const valid = JSON.parse(JSON.stringify(whole));
+        expect(parseConfigurationPatch(valid)).toEqual(valid);
+        const [route] = valid.routes;
+        const damaged: unknown[] = [
+            undefined,
+            "text",
+            ...Object.keys(valid).map(key => ({ ...valid, [key]: undefined })),
+            ...Object.keys(route).map(key => ({ ...valid, routes: [{ ...route, [key]: undefined }] })),
+            { ...valid, services: [{ name: "s" }] },
+            { ...valid, removed: [1] },
+        ];
+        damaged.forEach(value => expect(parseConfigurationPatch(value)).toBeUndefined());
+    });
+});
--- a/transport/forwarding/src/index.ts
+++ b/transport/forwarding/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./followClient";
 export * from "./messageHeaders";
 export * from "./offerListener";
 export * from "./peerClient";
--- a/transport/forwarding/src/offerListener.ts
+++ b/transport/forwarding/src/offerListener.ts
@@ -4,17 +4,20 @@
 import { createServer, type Socket } from "node:net";
 import {
     type AnswerHead,
+    type ContentRequest,
     encodeFrame,
     encodeMessage,
     type Frame,
     FrameKind,
-    FrameReader,
     type Loss,
     type NodeReport,
     type OfferMessage,
+    parseContentRequest,
     parseOfferMessage,
+    type PeerState,
     type Refusal,
 } from "@bilberrycroft/protocol.forwarding";
+import { FrameConnection } from "./frameConnection";
 
 /** What the target's node observes of an offer. */
 export interface IncomingOfferObserver {
@@ -50,6 +53,17 @@
     handle(offer: IncomingOffer): void;
     /** Report for a node that asks without a call. */
     report(): NodeReport;
+    /** Another node follows this one's state from now on. */
+    followed(follower: Follower): void;
+    /** The connection of a follower ended. */
+    unfollowed(follower: Follower): void;
+    /** Content for a follower, encoded. */
+    content(request: ContentRequest): Buffer;
+}
+
+/** A node that follows this one. */
+export interface Follower {
+    tellState(state: PeerState): void;
 }
 
 /** A listener for offers. */
@@ -80,19 +94,24 @@
     });
 }
 
+/** Bytes that may wait for a follower, which does not read any more if they are not taken; several whole contents. */
+const maxWaitingBytes = 8_388_608;
+
 /** One connection of another node. */
 class PeerConnection {
-    private readonly reader = new FrameReader();
+    private readonly connection: FrameConnection;
     private readonly offers = new Map<number, OfferOnConnection>();
+    private follower: Follower | undefined;
 
-    constructor(private readonly socket: Socket, private readonly options: OfferListenerOptions) {
-        socket.on("data", chunk => this.read(chunk));
-        socket.on("error", () => socket.destroy());
-        socket.on("close", () => this.closed());
+    constructor(socket: Socket, private readonly options: OfferListenerOptions) {
+        this.connection = new FrameConnection(socket, {
+            frame: frame => this.take(frame),
+            closed: () => this.closed(),
+        });
     }
 
     close(): void {
-        this.socket.destroy();
+        this.connection.close();
     }
 
     /** Forgets an offer that has ended. */
@@ -100,15 +119,6 @@
         this.offers.delete(id);
     }
 
-    private read(chunk: Buffer): void {
-        const frames = this.reader.push(chunk);
-        if (frames === undefined) {
-            this.socket.destroy();
-            return;
-        }
-        frames.forEach(frame => this.take(frame));
-    }
-
     private take({ kind, offer: id, payload }: Frame): void {
         switch (kind) {
             case FrameKind.Offer: {
@@ -116,7 +126,7 @@
                 if (message === undefined || this.offers.has(id)) {
                     return this.close();
                 }
-                const offer = new OfferOnConnection(id, message, this.socket, this);
+                const offer = new OfferOnConnection(id, message, this.connection.socket, this);
                 this.offers.set(id, offer);
                 return this.options.handle(offer);
             }
@@ -128,15 +138,42 @@
                 return offer?.withdrawn();
             }
             case FrameKind.Ask:
-                this.socket.write(encodeMessage(FrameKind.Report, id, this.options.report()));
+                this.connection.send(encodeMessage(FrameKind.Report, id, this.options.report()));
+                return;
+            case FrameKind.Follow:
+                return this.follow();
+            case FrameKind.Fetch: {
+                const request = parseContentRequest(payload);
+                if (request === undefined) {
+                    return this.close();
+                }
+                this.connection.send(encodeFrame(FrameKind.Content, id, this.options.content(request)));
                 return;
+            }
             default:
                 // A kind of a newer version, or one that only the target's side sends.
                 return this.close();
         }
     }
 
+    private follow(): void {
+        if (this.follower === undefined) {
+            this.follower = {
+                tellState: state => {
+                    if (this.connection.socket.writableLength > maxWaitingBytes) {
+                        return this.close();
+                    }
+                    this.connection.send(encodeMessage(FrameKind.State, 0, state));
+                },
+            };
+            this.options.followed(this.follower);
+        }
+    }
+
     private closed(): void {
+        if (this.follower !== undefined) {
+            this.options.unfollowed(this.follower);
+        }
         const offers = [...this.offers.values()];
         this.offers.clear();
         offers.forEach(offer => offer.withdrawn());
--- a/transport/forwarding/src/peerClient.ts
+++ b/transport/forwarding/src/peerClient.ts
@@ -2,7 +2,7 @@
  * Offers calls to other nodes. All offers to a node share a connection, those with large answers another one, so that
  * short answers do not wait behind long ones.
  */
-import { connect, type Socket } from "node:net";
+import { connect } from "node:net";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import {
     type AnswerHead,
@@ -10,7 +10,6 @@
     encodeMessage,
     type Frame,
     FrameKind,
-    FrameReader,
     type Loss,
     type NodeReport,
     type OfferMessage,
@@ -21,6 +20,7 @@
     type Refusal,
 } from "@bilberrycroft/protocol.forwarding";
 import { splitAddress } from "@bilberrycroft/transport.calls";
+import { FrameConnection } from "./frameConnection";
 
 /** What happens to an offer. */
 export interface OfferObserver {
@@ -124,29 +124,30 @@
 
 /** One connection to a node. */
 class Channel {
-    private readonly socket: Socket;
-    private readonly reader = new FrameReader();
+    private readonly connection: FrameConnection;
     private readonly observers = new Map<number, OfferObserver>();
     private reported: ((report: NodeReport | undefined) => void) | undefined;
     private offers = 0;
     private isRetired = false;
 
     constructor(readonly address: string, private readonly closed: () => void) {
-        this.socket = connect({ ...splitAddress(address), noDelay: true });
-        this.socket.on("data", chunk => this.read(chunk));
-        this.socket.on("error", error => this.broken((error as NodeJS.ErrnoException).code ?? error.message));
-        this.socket.on("close", () => this.broken("connection closed"));
+        this.connection = new FrameConnection(connect({ ...splitAddress(address), noDelay: true }), {
+            frame: frame => this.take(frame),
+            closed: reason => this.broken(reason),
+        });
     }
 
     offer(message: OfferMessage, observer: OfferObserver): OfferInProgress {
         const id = ++this.offers;
         this.observers.set(id, observer);
-        this.socket.write(encodeMessage(FrameKind.Offer, id, message));
+        this.connection.send(encodeMessage(FrameKind.Offer, id, message));
         return {
-            proceed: body => this.socket.write(encodeFrame(FrameKind.Body, id, body)),
+            proceed: body => {
+                this.connection.send(encodeFrame(FrameKind.Body, id, body));
+            },
             withdraw: () => {
                 if (this.observers.delete(id)) {
-                    this.socket.write(encodeFrame(FrameKind.Withdrawn, id));
+                    this.connection.send(encodeFrame(FrameKind.Withdrawn, id));
                     this.closeIfDone();
                 }
             },
@@ -155,7 +156,7 @@
 
     ask(reported: (report: NodeReport | undefined) => void): void {
         this.reported = reported;
-        this.socket.write(encodeFrame(FrameKind.Ask, 0));
+        this.connection.send(encodeFrame(FrameKind.Ask, 0));
     }
 
     /** Closes the connection once nothing is in progress on it. */
@@ -165,16 +166,7 @@
     }
 
     close(): void {
-        this.socket.destroy();
-    }
-
-    private read(chunk: Buffer): void {
-        const frames = this.reader.push(chunk);
-        if (frames === undefined) {
-            this.socket.destroy();
-            return;
-        }
-        frames.forEach(frame => this.take(frame));
+        this.connection.close();
     }
 
     private take({ kind, offer, payload }: Frame): void {
@@ -215,7 +207,7 @@
 
     private closeIfDone(): void {
         if (this.isRetired && this.observers.size === 0) {
-            this.socket.end();
+            this.connection.socket.end();
         }
     }
 
