Withdraw a paid offer when another target was granted the call first

Ruled out: a route whose number of targets had changed; the plan counts grants, and granted a third. Change: whichever is granted first withdraws all that wait, the payment goes with it, and a grant beyond the route's number of targets is given back.

--- a/coordination/forwarding/src/callPlan.ts
+++ b/coordination/forwarding/src/callPlan.ts
@@ -179,15 +179,15 @@
         if (this.isEnded || state === undefined) {
             return [{ kind: PlanActionKind.Withdraw, attempt }];
         }
-        if (this.isRunning() && !state.isPaid) {
+        if (!this.mayUseTarget() || (this.isRunning() && !state.isPaid)) {
             this.attempts.delete(attempt);
             return [{ kind: PlanActionKind.Withdraw, attempt }];
         }
         state.phase = AttemptPhase.Granted;
         this.targetsUsed++;
         const actions: PlanAction[] = [{ kind: PlanActionKind.Proceed, attempt }];
-        for (const [other, { phase, isPaid }] of this.attempts) {
-            if (phase === AttemptPhase.Offered && !isPaid) {
+        for (const [other, { phase }] of this.attempts) {
+            if (phase === AttemptPhase.Offered) {
                 this.attempts.delete(other);
                 actions.push({ kind: PlanActionKind.Withdraw, attempt: other });
             }
@@ -204,7 +204,9 @@
             return [];
         }
         if (!this.isRunning()) {
-            return this.offerNext(true, false) ?? [];
+            // Whichever of the two is granted first runs, and what was paid for the one pays for the other.
+            const isPaid = [...this.attempts.values()].some(attempt => attempt.isPaid);
+            return this.offerNext(true, isPaid) ?? [];
         }
         if (!this.mayRunAgain() || !this.hasTimeForRun()) {
             return [];
--- a/coordination/forwarding/src/weightedShares.ts
+++ b/coordination/forwarding/src/weightedShares.ts
@@ -5,7 +5,7 @@
  * random draws would leave a spread.
  */
 import type { Random } from "@bilberrycroft/core.random";
-import type { Route, WeightedService } from "@bilberrycroft/state.routes";
+import { hasSameShares, type Route, type WeightedService } from "@bilberrycroft/state.routes";
 import { makeRoomFor } from "./boundedMap";
 
 interface ShareState {
@@ -62,8 +62,3 @@
     credits[chosen] = (credits[chosen] ?? 0) - total;
     return services[chosen]?.service ?? "";
 }
-
-function hasSameShares(before: readonly WeightedService[], after: readonly WeightedService[]): boolean {
-    return before.length === after.length && before.every(({ service, weight }, index) =>
-        service === after[index]?.service && weight === after[index]?.weight);
-}
--- a/coordination/forwarding/test/callPlan.test.ts
+++ b/coordination/forwarding/test/callPlan.test.ts
@@ -140,6 +140,21 @@
             expect(kinds(plan.attemptEnded(2, { kind: AttemptEndKind.Lost }))).toEqual([PlanActionKind.Fail]);
         });
 
+        it("keeps to it when a paid offer waits and a free slot is found elsewhere", () => {
+            const plan = createPlan(repeatableRoute);
+            plan.start();
+            plan.granted(1);
+            expect(plan.attemptEnded(1, { kind: AttemptEndKind.Failed }))
+                .toMatchObject([{ kind: PlanActionKind.Offer, attempt: 2 }]);
+            plan.queued(2);
+            expect(plan.secondTargetDue()).toMatchObject([{ kind: PlanActionKind.Offer, attempt: 3 }]);
+            expect(plan.granted(3)).toEqual(expect.arrayContaining([
+                { kind: PlanActionKind.Proceed, attempt: 3 },
+                { kind: PlanActionKind.Withdraw, attempt: 2 },
+            ]));
+            expect(plan.granted(2)).toEqual([{ kind: PlanActionKind.Withdraw, attempt: 2 }]);
+        });
+
         it("prefers a target's own failure to a failure of its own", () => {
             const plan = createPlan(repeatableRoute);
             plan.start();
@@ -185,6 +200,7 @@
                 const plan = createPlan(isRepeatable ? repeatableRoute : onceRoute);
                 const open = new Set<number>();
                 const unknown = new Set<number>();
+                const proceeded = new Set<number>();
                 let answers = 0;
                 const perform = (actions: readonly PlanAction[]): void => {
                     for (const action of actions) {
@@ -194,6 +210,8 @@
                                 break;
                             case PlanActionKind.Proceed:
                                 unknown.add(action.attempt);
+                                proceeded.add(action.attempt);
+                                expect(proceeded.size).toBeLessThanOrEqual(repeatableRoute.maxTargets);
                                 expect(isRepeatable || unknown.size === 1).toBe(true);
                                 break;
                             case PlanActionKind.Withdraw:
--- a/state/routes/src/patch.ts
+++ b/state/routes/src/patch.ts
@@ -2,7 +2,6 @@
  * Differences between two versions of a configuration. Most changes touch a few of many routes, so that a node that has
  * the version before needs a small part of the whole only.
  */
-import { isDeepStrictEqual } from "node:util";
 import { isNumber, isRecord, isText, type UncheckedFields } from "@bilberrycroft/core.json";
 import type { CallerLimits, MeshConfiguration, Route, Service, WeightedService } from "./types";
 
@@ -35,13 +34,26 @@
     return {
         base: before?.version ?? 0,
         version,
-        routes: after.routes.filter(route => !isDeepStrictEqual(known.get(createRouteKey(route)), route)),
+        routes: after.routes.filter(route => !isSameRoute(known.get(createRouteKey(route)), route)),
         removed: [...known.keys()].filter(key => !present.has(key)),
         services,
         callerLimits,
     };
 }
 
+function isSameRoute(before: Route | undefined, after: Route): boolean {
+    return before !== undefined && before.name === after.name && before.timeoutMs === after.timeoutMs
+        && before.latencyObjectiveMs === after.latencyObjectiveMs && before.maxTargets === after.maxTargets
+        && before.priority === after.priority && before.repeatable === after.repeatable
+        && hasSameShares(before.services, after.services);
+}
+
+/** Whether the services are the same, with the same weights. */
+export function hasSameShares(before: readonly WeightedService[], after: readonly WeightedService[]): boolean {
+    return before.length === after.length && before.every(({ service, weight }, index) =>
+        service === after[index]?.service && weight === after[index]?.weight);
+}
+
 /** The patched configuration; `undefined` if the patch is for another version. */
 export function applyConfigurationPatch(
     before: MeshConfiguration | undefined,
