Wait for other nodes as long as they usually take, and pace large answers to the link

Nodes have 0.27 of a core and links of 9 Mbit/s: a message behind an answer of 90 KB waits 80 ms in the link's queue. Calls moved to the few nodes that were still trusted (busiest/mean 3.6), inner calls failed, and so did their parents. Change: ResponseTimes learns each node's usual response time and its deviation (RFC 6298); the wait is read after what has already arrived; a node from which anything arrived meanwhile is slow, not lost. AnswerPacer sends large answers in order at 0.85 of the link's rate; the target's slot is free once its answer is read. The time that the link takes counts in the choice of a target and in its queue.

--- a/coordination/forwarding/src/index.ts
+++ b/coordination/forwarding/src/index.ts
@@ -1,8 +1,10 @@
 /**
  * Decisions of a call that passes two nodes.
  */
+export * from "./answerSizes";
 export * from "./callPlan";
 export * from "./peerRecord";
+export * from "./responseTimes";
 export * from "./retryBudgets";
 export * from "./runTimes";
 export * from "./targetDirectory";
--- a/coordination/forwarding/src/peerRecord.ts
+++ b/coordination/forwarding/src/peerRecord.ts
@@ -4,6 +4,7 @@
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import { type NodeEntry, TargetAvailability, type TargetLoad } from "@bilberrycroft/protocol.forwarding";
 import { makeRoomFor } from "./boundedMap";
+import { ResponseTimes } from "./responseTimes";
 
 /** Time after which a load report says little: with usual rates several newer calls have ended by then. */
 const loadLifetimeMs: Milliseconds = 1_000;
@@ -17,6 +18,7 @@
 
 interface RunTimeObservation {
     readonly runTimeMs: Milliseconds;
+    readonly sendMs: Milliseconds;
     readonly at: Milliseconds;
 }
 
@@ -31,6 +33,7 @@
 export class PeerRecord {
     private readonly offers = new Set<string>();
     private readonly runTimes = new Map<string, RunTimeObservation>();
+    readonly responseTimes = new ResponseTimes();
     private observation: LoadObservation | undefined;
     private probeAt: Milliseconds | undefined;
     private probeWaitMs = firstProbeWaitMs;
@@ -70,7 +73,7 @@
         this.observation = { load, at: now, others };
         if (route !== undefined) {
             makeRoomFor(this.runTimes, route, maxRoutes);
-            this.runTimes.set(route, { runTimeMs: load.runTimeMs, at: now });
+            this.runTimes.set(route, { runTimeMs: load.runTimeMs, sendMs: load.sendMs, at: now });
         }
         if (load.availability === TargetAvailability.Serving) {
             this.trust();
@@ -126,6 +129,12 @@
         return usualMs + (observed.runTimeMs - usualMs) * weight;
     }
 
+    /** Time that the answer waits for the link of the target's host, fading as the report ages. */
+    sendMs(route: string, now: Milliseconds): Milliseconds {
+        const observed = this.runTimes.get(route);
+        return observed === undefined ? 0 : observed.sendMs * Math.exp(-(now - observed.at) / loadLifetimeMs);
+    }
+
     /** Last observed run time of the route. */
     lastRunTimeMs(route: string): Milliseconds | undefined {
         return this.runTimes.get(route)?.runTimeMs;
--- a/coordination/forwarding/src/targetDirectory.ts
+++ b/coordination/forwarding/src/targetDirectory.ts
@@ -52,6 +52,8 @@
 const largeAnswerBytes = 65_536;
 /** A failed call costs the time of another attempt: this part of the objective. */
 const failurePart = 1.5;
+/** Part of the time that is left to a call in which a node has to respond, so that another one can still run it. */
+const longestResponsePart = 0.4;
 /** Random part of a price, which keeps nodes with the same observations apart. */
 const jitterPart = 0.1;
 
@@ -95,6 +97,17 @@
         this.records.get(node)?.loadHeard(load, route, this.options.clock.now());
     }
 
+    /** The node responded to an offer. */
+    responded(node: string, elapsedMs: Milliseconds): void {
+        this.records.get(node)?.responseTimes.add(elapsedMs);
+    }
+
+    /** Time in which the node is expected to respond to an offer; at most this part of the time that is left. */
+    responseWaitMs(node: string, leftMs: Milliseconds): Milliseconds {
+        const waitMs = this.records.get(node)?.responseTimes.waitMs ?? 0;
+        return Math.min(waitMs, longestResponsePart * leftMs);
+    }
+
     /** Takes that a node did not respond to an offer or a probe. Returns whether it was trusted until now. */
     distrust(node: string): boolean {
         const record = this.records.get(node);
@@ -158,7 +171,8 @@
         const cold = this.isCold(target?.coldUntil ?? 0) ? coldFactor : 1;
         const runMs = record.runTimeMs(request.route.name, usualMs * cold, now) * (1 + fullTargetSlowdown * fullness);
         const failureMs = record.failureShare(now) * failurePart * latencyObjectiveMs;
-        return waitMs + runMs + failureMs + this.zonePriceMs(record.entry.zone, request);
+        const linkMs = record.responseTimes.usualMs + record.sendMs(request.route.name, now);
+        return linkMs + waitMs + runMs + failureMs + this.zonePriceMs(record.entry.zone, request);
     }
 
     private zonePriceMs(zone: string, { route, answerBytes }: CandidateRequest): Milliseconds {
--- a/coordination/forwarding/src/targetQueue.ts
+++ b/coordination/forwarding/src/targetQueue.ts
@@ -22,6 +22,8 @@
     readonly spareOnly: boolean;
     readonly objectiveAt: Milliseconds;
     readonly deadlineAt: Milliseconds;
+    /** Time that the link of this host usually takes for the answer. */
+    readonly transferMs: Milliseconds;
 }
 
 /** Kinds of `OfferDecision`. */
@@ -67,6 +69,8 @@
 export interface TargetQueueOptions {
     readonly clock: Clock;
     readonly random: Random;
+    /** Time until the answers that wait for the link of this host have been sent. */
+    linkBacklogMs(): Milliseconds;
 }
 
 /** Calls that may wait at once; a longer queue would only hold what can not be in time. */
@@ -78,6 +82,8 @@
  * that is refused early can still come back.
  */
 const lateShare = 0.25;
+/** An answer that the link carries in less time does not wait for large ones. */
+const shortTransferMs: Milliseconds = 5;
 const shortestRetryAfterMs: Milliseconds = 50;
 const longestRetryAfterMs: Milliseconds = 1_000;
 /** Weight of the latest end in the share of failures. */
@@ -92,6 +98,7 @@
 interface RunningCall {
     readonly route: string;
     readonly startedAt: Milliseconds;
+    readonly transferMs: Milliseconds;
 }
 
 /** Admission and order of the calls of one target. */
@@ -126,6 +133,10 @@
         if (now + this.expectedRunMs(call) >= call.deadlineAt && call.deadlineAt - now < this.runTimes.meanMs) {
             return this.refuse(call, CallReason.DeadlinePassed);
         }
+        const sendAfterRunMs = this.expectedSendMs(call.transferMs, this.expectedRunMs(call));
+        if (sendAfterRunMs > 0 && now + this.expectedRunMs(call) + sendAfterRunMs > call.deadlineAt) {
+            return this.refuse(call, CallReason.Overloaded);
+        }
         if (this.running.size < this.slots && this.queue.length === 0) {
             return this.grant(call);
         }
@@ -133,10 +144,11 @@
             return this.refuse(call, CallReason.Overloaded);
         }
         const expectedWaitMs = this.expectedWaitMs(call);
-        if (now + expectedWaitMs + this.expectedRunMs(call) > this.latestEnd(call, now)) {
+        const sendMs = this.expectedSendMs(call.transferMs, expectedWaitMs + this.expectedRunMs(call));
+        if (now + expectedWaitMs + this.expectedRunMs(call) + sendMs > this.latestEnd(call, now)) {
             return this.refuse(call, CallReason.Overloaded);
         }
-        this.queue.push({ call, refuseAt: this.latestEnd(call, now) - this.expectedRunMs(call) });
+        this.queue.push({ call, refuseAt: this.latestEnd(call, now) - this.expectedRunMs(call) - call.transferMs });
         return { kind: OfferDecisionKind.Queued, callId: call.callId, expectedWaitMs };
     }
 
@@ -184,20 +196,22 @@
     }
 
     /** Load for the answer to a call on the route. */
-    load(route: string): TargetLoad {
+    load(route: string, transferMs: Milliseconds): TargetLoad {
         return {
             availability: this.availability,
             running: this.running.size,
             queued: this.queue.length,
             slots: this.slots,
             runTimeMs: this.runTimes.expectedMs(route),
+            sendMs: this.expectedSendMs(transferMs, this.runTimes.expectedMs(route)),
             meanRunTimeMs: this.runTimes.meanMs,
             failureShare: this.failureShare,
         };
     }
 
     private grant(call: OfferedCall): Extract<OfferDecision, { kind: OfferDecisionKind.Granted }> {
-        this.running.set(call.callId, { route: call.route, startedAt: this.options.clock.now() });
+        const { route, transferMs } = call;
+        this.running.set(call.callId, { route, startedAt: this.options.clock.now(), transferMs });
         return { kind: OfferDecisionKind.Granted, callId: call.callId };
     }
 
@@ -250,6 +264,18 @@
         return this.runTimes.expectedMs(call.route);
     }
 
+    /**
+     * Time that the link takes after the run, for the answers before this one and for its own. What is to be sent while
+     * the call waits and runs is not in its way.
+     */
+    private expectedSendMs(transferMs: Milliseconds, untilAnsweredMs: Milliseconds): Milliseconds {
+        let backlogMs = this.options.linkBacklogMs();
+        this.running.forEach(running => {
+            backlogMs += running.transferMs;
+        });
+        return transferMs < shortTransferMs ? 0 : Math.max(0, backlogMs - untilAnsweredMs) + transferMs;
+    }
+
     /** Time until a slot is free for the call, counting the calls that would go first. */
     private expectedWaitMs(call: OfferedCall): Milliseconds {
         const ahead = this.queue.filter(({ call: other }) =>
--- a/coordination/forwarding/test/targetDirectory.test.ts
+++ b/coordination/forwarding/test/targetDirectory.test.ts
@@ -19,6 +19,7 @@
     queued: 0,
     slots: 4,
     runTimeMs: 50,
+    sendMs: 0,
     meanRunTimeMs: 50,
     failureShare: 0,
     ...changes,
--- a/coordination/forwarding/test/targetQueue.test.ts
+++ b/coordination/forwarding/test/targetQueue.test.ts
@@ -14,10 +14,12 @@
     let clock: ManualClock;
     let queue: TargetQueue;
     let count: number;
+    let linkBacklogMs: number;
 
     beforeEach(() => {
         clock = new ManualClock();
-        queue = new TargetQueue({ clock, random: createSeededRandom(seed) });
+        linkBacklogMs = 0;
+        queue = new TargetQueue({ clock, random: createSeededRandom(seed), linkBacklogMs: () => linkBacklogMs });
         queue.setTarget(serving);
         count = 0;
     });
@@ -30,6 +32,7 @@
         spareOnly: false,
         objectiveAt: clock.now() + 300,
         deadlineAt: clock.now() + 1_000,
+        transferMs: 0,
         ...changes,
     });
     const offer = (changes: Partial<OfferedCall> = {}): string => {
@@ -56,7 +59,8 @@
                 ),
                 steps => {
                     const manual = new ManualClock();
-                    const tested = new TargetQueue({ clock: manual, random: createSeededRandom(seed) });
+                    const random = createSeededRandom(seed);
+                    const tested = new TargetQueue({ clock: manual, random, linkBacklogMs: () => 0 });
                     tested.setTarget(serving);
                     const known: string[] = [];
                     for (const { step, pick, isInner } of steps) {
@@ -168,16 +172,31 @@
         });
     });
 
+    describe("large answers", () => {
+        it("are refused while the link could not send them before the deadline", () => {
+            linkBacklogMs = 900;
+            expect(queue.offer(call({ transferMs: 200 })).kind).toBe(OfferDecisionKind.Refused);
+            expect(queue.offer(call()).kind).toBe(OfferDecisionKind.Granted);
+        });
+
+        it("count with those of the calls that run", () => {
+            expect(queue.offer(call({ transferMs: 500 })).kind).toBe(OfferDecisionKind.Granted);
+            expect(queue.load("r", 200).sendMs).toBeGreaterThan(600);
+            expect(queue.offer(call({ transferMs: 600 })).kind).toBe(OfferDecisionKind.Refused);
+            expect(queue.load("r", 0).sendMs).toBe(0);
+        });
+    });
+
     describe("load", () => {
         it("tells the share of calls that the target fails", () => {
             for (let failed = 0; failed < 20; failed++) {
                 queue.finished(offer(), RunResult.Failed);
             }
-            expect(queue.load("r").failureShare).toBeGreaterThan(0.7);
+            expect(queue.load("r", 0).failureShare).toBeGreaterThan(0.7);
             for (let answered = 0; answered < 60; answered++) {
                 queue.finished(offer(), RunResult.Answered);
             }
-            expect(queue.load("r").failureShare).toBeLessThan(0.05);
+            expect(queue.load("r", 0).failureShare).toBeLessThan(0.05);
         });
     });
 });
--- a/daemons/sidecar/src/calls/callerCall.ts
+++ b/daemons/sidecar/src/calls/callerCall.ts
@@ -48,8 +48,6 @@
     readonly startedAt: Milliseconds;
     readonly objectiveAt: Milliseconds;
     readonly deadlineAt: Milliseconds;
-    /** Time within which another node has to respond to an offer. */
-    readonly acknowledgeMs: Milliseconds;
     /** A large answer is expected. */
     readonly isBulk: boolean;
     readonly offer: Pick<Offer, "route" | "priority" | "isInner" | "repeatable" | "callerService" | "callId" | "fingerprint">;
@@ -74,6 +72,7 @@
     readonly offeredAt: Milliseconds;
     /** Time that was expected until the answer when the target was chosen. */
     readonly expectedMs: Milliseconds;
+    isAcknowledged: boolean;
     isGranted: boolean;
     answer: IncomingAnswer | undefined;
     acknowledgeTimer: NodeJS.Timeout | undefined;
@@ -190,12 +189,20 @@
             target: candidate.target,
             offeredAt: now,
             expectedMs: candidate.costMs,
+            isAcknowledged: false,
             isGranted: false,
             answer: undefined,
-            acknowledgeTimer: setTimeout(() => this.notAcknowledged(attempt), call.acknowledgeMs),
+            acknowledgeTimer: this.awaitAcknowledgement(attempt, candidate.node),
         });
     }
 
+    /** What has arrived is read before the wait is taken to be over: this process may have stood still itself. */
+    private awaitAcknowledgement(attempt: number, node: string): NodeJS.Timeout {
+        const { clock, directory } = this.services;
+        const waitMs = directory.responseWaitMs(node, this.call.deadlineAt - clock.now());
+        return setTimeout(() => setImmediate(() => this.notAcknowledged(attempt)), waitMs);
+    }
+
     private queued(attempt: number): void {
         this.acknowledged(attempt);
         this.perform(this.plan.queued(attempt));
@@ -211,15 +218,27 @@
 
     private acknowledged(attempt: number): AttemptState | undefined {
         const state = this.attempts.get(attempt);
-        clearTimeout(state?.acknowledgeTimer);
+        if (state !== undefined && !state.isAcknowledged) {
+            state.isAcknowledged = true;
+            clearTimeout(state.acknowledgeTimer);
+            this.services.directory.responded(state.node, this.services.clock.now() - state.offeredAt);
+        }
         return state;
     }
 
     private notAcknowledged(attempt: number): void {
         const state = this.attempts.get(attempt);
-        if (state !== undefined) {
+        if (state === undefined || state.isAcknowledged) {
+            return;
+        }
+        state.handle.withdraw();
+        if (state.handle.isHeard()) {
+            // The node is there, only slow: the call goes elsewhere, and the next wait for it is longer.
+            this.services.directory.responded(state.node, this.services.clock.now() - state.offeredAt);
+            this.endAttempt(attempt, { kind: AttemptEndKind.Unreachable });
+        }
+        else {
             this.unreachable(attempt, state, "no response");
-            state.handle.withdraw();
         }
     }
 
--- a/daemons/sidecar/src/calls/targetCall.ts
+++ b/daemons/sidecar/src/calls/targetCall.ts
@@ -56,6 +56,8 @@
     private attempt: Attempt | undefined;
     private sentAt: Milliseconds = 0;
     private isCancelled = false;
+    private passedBytes = 0;
+    private isSent: Promise<void> = Promise.resolve();
 
     constructor(private readonly call: GrantedCall, private readonly services: TargetServices) {}
 
@@ -88,6 +90,16 @@
         return result;
     }
 
+    /** Bytes of the answer's body so far. */
+    get answerBytes(): number {
+        return this.passedBytes;
+    }
+
+    /** Resolves when the answer has left this host; the target itself is done before. */
+    sent(): Promise<void> {
+        return this.isSent;
+    }
+
     /** Ends the call at the target: nobody waits for its answer. */
     cancel(): void {
         this.isCancelled = true;
@@ -160,6 +172,7 @@
         });
         const isComplete = await new Promise<boolean>(resolve => {
             response.on("data", (data: Buffer) => {
+                this.passedBytes += data.length;
                 if (!incoming.write(data)) {
                     response.pause();
                     void incoming.drained().then(() => response.resume());
@@ -171,7 +184,7 @@
         if (!isComplete || await wasReset()) {
             return false;
         }
-        incoming.end();
+        this.isSent = incoming.end();
         return true;
     }
 
--- a/daemons/sidecar/src/settings.ts
+++ b/daemons/sidecar/src/settings.ts
@@ -18,6 +18,8 @@
     readonly service: string;
     /** Processor cores that this process may use, with fractions. */
     readonly processors: number;
+    /** Rate of this host's link, in one direction; `undefined` if it is not known. */
+    readonly linkBytesPerSecond: number | undefined;
     readonly heartbeatIntervalMs: Milliseconds;
     /** Time from SIGTERM to SIGKILL. */
     readonly graceMs: Milliseconds;
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -13,7 +13,7 @@
 import { createSeededRandom, type Random } from "@bilberrycroft/core.random";
 import type { AnnouncedCrash, StateMark } from "@bilberrycroft/protocol.forwarding";
 import { type Listener, splitAddress, startListener, TargetClient } from "@bilberrycroft/transport.calls";
-import { type OfferListener, PeerClient, startOfferListener } from "@bilberrycroft/transport.forwarding";
+import { AnswerPacer, type OfferListener, PeerClient, startOfferListener } from "@bilberrycroft/transport.forwarding";
 import { CallMetrics } from "./metrics";
 import { NodeTable } from "./nodeTable";
 import type { MeshPlatform } from "./ports";
@@ -55,6 +55,7 @@
     private readonly clock: Clock = new SystemClock();
     private readonly random: Random;
     private readonly peerClient = new PeerClient();
+    private readonly pacer: AnswerPacer;
     private readonly targetClient = new TargetClient(this.clock);
     private readonly directory: TargetDirectory;
     private readonly quarantine: Quarantine;
@@ -76,6 +77,7 @@
         const { settings, platform, log } = options;
         const { clock } = this;
         this.random = createSeededRandom(options.seed ?? randomInt(largestSeed));
+        this.pacer = new AnswerPacer({ clock, linkBytesPerSecond: settings.linkBytesPerSecond });
         const directory = new TargetDirectory({ clock, random: this.random, zone: settings.zone });
         this.directory = directory;
         this.quarantine = new Quarantine({ node: settings.node, clock });
@@ -132,6 +134,7 @@
         this.offerListener = await startOfferListener({
             ...splitAddress(settings.offerAddress),
             maxConnections,
+            pacer: this.pacer,
             handle: offer => this.target.handleOffer(offer),
             report: () => this.target.report(""),
             followed: follower => this.relay.addFollower(follower),
@@ -196,7 +199,8 @@
         const { clock, random, quarantine } = this;
         return new TargetTask({
             clock,
-            queue: new TargetQueue({ clock, random }),
+            queue: new TargetQueue({ clock, random, linkBacklogMs: () => this.pacer.backlogMs }),
+            pacer: this.pacer,
             target,
             quarantine,
             client: this.targetClient,
@@ -312,6 +316,7 @@
         this.target.stop();
         this.probes.stop();
         this.peerClient.close();
+        this.pacer.close();
         this.targetClient.close();
         await Promise.all([this.callerListener?.close(), this.offerListener?.close()]);
     }
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -4,6 +4,7 @@
 import { createHash } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import {
+    AnswerSizes,
     CallPlan,
     type PlanServices,
     RouteLatencyTable,
@@ -39,21 +40,15 @@
 const deadlineMarginMs: Milliseconds = 10;
 /** Longest time that a caller is served if neither it nor the route sets one. */
 const longestWaitMs: Milliseconds = 600_000;
-/** Part of the latency objective in which another node has to respond, and its bounds. */
-const acknowledgePart = 0.3;
-const shortestAcknowledgeMs: Milliseconds = 50;
-const longestAcknowledgeMs: Milliseconds = 150;
 const noConfigurationRetryMs: Milliseconds = 300;
 /** Usual size from which a route's answers have a connection of their own. */
 const bulkBytes = 16_384;
-/** Weight of the latest answer in a route's usual size. */
-const sizeGain = 0.1;
 
 /** Calls that begin on this host. */
 export class CallerTask {
     private readonly shares: WeightedShares;
     private readonly latencies = new RouteLatencyTable();
-    private readonly answerSizes = new Map<string, number>();
+    private readonly answerSizes = new AnswerSizes();
     private table: RouteTable | undefined;
     private callsInProgress = 0;
 
@@ -69,11 +64,6 @@
     /** Puts routes in force; calls in progress keep theirs. */
     activate(table: RouteTable): void {
         this.table = table;
-        for (const route of this.answerSizes.keys()) {
-            if (!table.configuration.routes.some(({ name }) => name === route)) {
-                this.answerSizes.delete(route);
-            }
-        }
     }
 
     /** Handles one request of a caller. */
@@ -139,7 +129,7 @@
             mayRepeat: () => options.quarantine.check(call.offer.fingerprint).kind !== QuarantineDecisionKind.Held,
         };
         const planned = { route, service, isOfRepeat: call.parent?.isRepeat === true, deadlineAt: call.deadlineAt };
-        const plan = new CallPlan(services, planned, this.answerSizes.get(route.name) ?? 0);
+        const plan = new CallPlan(services, planned, this.answerSizes.of(route.name));
         const end = await new CallerCall(call, plan, options).run();
         this.record(call, service, end);
         request.resume();
@@ -157,7 +147,6 @@
             tenant: "",
             bodyDigest: createHash("sha256").update(body).digest("base64url"),
         });
-        const acknowledgeMs = acknowledgePart * route.latencyObjectiveMs;
         const parent = head.parentCallId === undefined ? undefined : options.runningCall(head.parentCallId);
         return {
             request,
@@ -172,8 +161,7 @@
             startedAt,
             objectiveAt: startedAt + route.latencyObjectiveMs,
             deadlineAt: startedAt + Math.min(route.timeoutMs, Math.max(1, waitMs - deadlineMarginMs)),
-            isBulk: (this.answerSizes.get(route.name) ?? 0) > bulkBytes,
-            acknowledgeMs: Math.max(shortestAcknowledgeMs, Math.min(longestAcknowledgeMs, acknowledgeMs)),
+            isBulk: this.answerSizes.of(route.name) > bulkBytes,
             offer: {
                 route: route.name,
                 // A call below another one is as urgent as that one.
@@ -193,8 +181,7 @@
         metrics.callEnded({ route: call.route, service, outcome: end.outcome, reason: end.reason, latencyMs });
         if (end.outcome === CallOutcome.Done) {
             this.latencies.of(call.route).record(latencyMs);
-            const before = this.answerSizes.get(call.route) ?? end.answerBytes;
-            this.answerSizes.set(call.route, before + sizeGain * (end.answerBytes - before));
+            this.answerSizes.add(call.route, end.answerBytes);
         }
         const fields = {
             call: call.callId,
--- a/daemons/sidecar/src/tasks/targetTask.ts
+++ b/daemons/sidecar/src/tasks/targetTask.ts
@@ -2,6 +2,7 @@
  * Takes the offers of other nodes for the target beside this node.
  */
 import {
+    AnswerSizes,
     type OfferDecision,
     OfferDecisionKind,
     type QueueEvent,
@@ -22,7 +23,7 @@
     TargetAvailability,
 } from "@bilberrycroft/protocol.forwarding";
 import { probeListener, type TargetClient } from "@bilberrycroft/transport.calls";
-import type { IncomingOffer } from "@bilberrycroft/transport.forwarding";
+import type { AnswerPacer, IncomingOffer } from "@bilberrycroft/transport.forwarding";
 import { type BrokenConnection, TargetCall, type TargetServices } from "../calls/targetCall";
 import type { CallHeaderCodec } from "../ports";
 
@@ -36,6 +37,8 @@
     readonly codec: CallHeaderCodec;
     readonly log: EventLog;
     readonly targetAddress: string;
+    /** Line of large answers. */
+    readonly pacer: AnswerPacer;
     stateMark(): StateMark;
     stateHeard(mark: StateMark): void;
     /** Takes the requests that were in flight when the target crashed. */
@@ -69,6 +72,8 @@
     /** Calls that run in the target, by the caller's identifier. */
     private readonly running = new Map<string, Offer>();
     private readonly services: TargetServices;
+    private readonly answerSizes = new AnswerSizes();
+    private answersLeaving = 0;
     private timer: NodeJS.Timeout | undefined;
     private queueTimer: NodeJS.Timeout | undefined;
     private offerCount = 0;
@@ -103,9 +108,9 @@
         clearTimeout(this.queueTimer);
     }
 
-    /** Calls that run or wait. */
+    /** Calls that run or wait, and answers that have not left yet. */
     get inProgress(): number {
-        return this.options.queue.runningCalls + this.options.queue.queuedCalls;
+        return this.options.queue.runningCalls + this.options.queue.queuedCalls + this.answersLeaving;
     }
 
     /** Takes no new offers: the node stops. */
@@ -135,7 +140,7 @@
 
     /** What this node tells of itself. */
     report(route: string): NodeReport {
-        return { load: this.options.queue.load(route), state: this.options.stateMark() };
+        return { load: this.options.queue.load(route, this.transferMs(route)), state: this.options.stateMark() };
     }
 
     /** Handles an offer. */
@@ -162,9 +167,15 @@
             spareOnly: offer.spareOnly,
             objectiveAt: now + offer.objectiveMs,
             deadlineAt,
+            transferMs: this.transferMs(offer.route),
         }));
     }
 
+    /** Time that the link takes for a usual answer on the route. */
+    private transferMs(route: string): Milliseconds {
+        return this.options.pacer.timeFor(this.answerSizes.of(route));
+    }
+
     private findObstacle(offer: Offer): CallReason | undefined {
         if (offer.target !== this.options.target.announced?.id) {
             return CallReason.NoTarget;
@@ -236,7 +247,12 @@
         });
         const result = await call.run();
         this.running.delete(offer.callId);
+        this.answersLeaving++;
+        void call.sent().then(() => {
+            this.answersLeaving--;
+        });
         if (result === RunResult.Answered) {
+            this.answerSizes.add(offer.route, call.answerBytes);
             this.options.quarantine.completed(offer.fingerprint);
         }
         this.finished(key, result);
--- a/protocol/forwarding/src/targetLoad.ts
+++ b/protocol/forwarding/src/targetLoad.ts
@@ -23,6 +23,8 @@
     readonly slots: number;
     /** Usual run time of the route of the answered call; of all calls if the route is not known. */
     readonly runTimeMs: Milliseconds;
+    /** Time until the answer to another call on the route would have left the link of the target's host. */
+    readonly sendMs: Milliseconds;
     /** Usual run time of all calls. */
     readonly meanRunTimeMs: Milliseconds;
     /** Share of recent calls that the target failed, 0 to 1. */
@@ -36,8 +38,8 @@
     if (!isRecord(value) || !availabilities.has(value.availability)) {
         return undefined;
     }
-    const { running, queued, slots, runTimeMs, meanRunTimeMs, failureShare } = value;
-    return isNumber(running) && isNumber(queued) && isNumber(slots) && isNumber(runTimeMs)
+    const { running, queued, slots, runTimeMs, sendMs, meanRunTimeMs, failureShare } = value;
+    return isNumber(running) && isNumber(queued) && isNumber(slots) && isNumber(runTimeMs) && isNumber(sendMs)
         && isNumber(meanRunTimeMs) && isNumber(failureShare)
         ? {
                 availability: value.availability as TargetAvailability,
@@ -45,6 +47,7 @@
                 queued,
                 slots,
                 runTimeMs,
+                sendMs,
                 meanRunTimeMs,
                 failureShare,
             }
--- a/transport/forwarding/src/index.ts
+++ b/transport/forwarding/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./answerPacer";
 export * from "./followClient";
 export * from "./messageHeaders";
 export * from "./offerListener";
--- a/transport/forwarding/src/offerListener.ts
+++ b/transport/forwarding/src/offerListener.ts
@@ -17,6 +17,7 @@
     type PeerState,
     type Refusal,
 } from "@bilberrycroft/protocol.forwarding";
+import type { AnswerPacer } from "./answerPacer";
 import { FrameConnection } from "./frameConnection";
 
 /** What the target's node observes of an offer. */
@@ -41,8 +42,8 @@
     /** Passes on a part of the body; `false` if the connection is full until `drained` resolves. */
     write(data: Buffer): boolean;
     drained(): Promise<void>;
-    /** The answer is whole. */
-    end(): void;
+    /** The answer is whole; resolves when all of it has been sent or nobody waits for it any more. */
+    end(): Promise<void>;
 }
 
 /** Options of `startOfferListener`. */
@@ -50,6 +51,8 @@
     readonly host: string;
     readonly port: number;
     readonly maxConnections: number;
+    /** Line of large answers. */
+    readonly pacer: AnswerPacer;
     handle(offer: IncomingOffer): void;
     /** Report for a node that asks without a call. */
     report(): NodeReport;
@@ -126,7 +129,7 @@
                 if (message === undefined || this.offers.has(id)) {
                     return this.close();
                 }
-                const offer = new OfferOnConnection(id, message, this.connection.socket, this);
+                const offer = new OfferOnConnection(id, message, this.connection.socket, this, this.options.pacer);
                 this.offers.set(id, offer);
                 return this.options.handle(offer);
             }
@@ -180,7 +183,16 @@
     }
 }
 
+/** Parts in which large answers are sent; a message behind one waits for less than 15 ms on a link of 10 Mbit/s. */
+const pacedPartBytes = 16_384;
+/** Shorter parts of answers do not wait. */
+const unpacedBytes = 4_096;
+/** Bytes of one answer that may wait; beyond, its target is read no further. */
+const maxPacedBytes = 2_097_152;
+
 class OfferOnConnection implements IncomingOffer {
+    private pacedBytes = 0;
+    private roomWanted: (() => void)[] = [];
     private observer: IncomingOfferObserver | undefined;
     isWithdrawn = false;
 
@@ -189,6 +201,7 @@
         readonly message: OfferMessage,
         private readonly socket: Socket,
         private readonly connection: PeerConnection,
+        private readonly pacer: AnswerPacer,
     ) {}
 
     observe(observer: IncomingOfferObserver): void {
@@ -201,6 +214,7 @@
 
     withdrawn(): void {
         this.isWithdrawn = true;
+        this.tellRoom();
         this.observer?.withdrawn();
     }
 
@@ -228,25 +242,59 @@
     }
 
     write(data: Buffer): boolean {
-        return this.send(encodeFrame(FrameKind.AnswerData, this.id, data));
+        if (data.length <= unpacedBytes && this.pacedBytes === 0) {
+            return this.send(encodeFrame(FrameKind.AnswerData, this.id, data));
+        }
+        for (let start = 0; start < data.length; start += pacedPartBytes) {
+            this.pace(data.subarray(start, start + pacedPartBytes));
+        }
+        return this.hasRoom();
     }
 
     drained(): Promise<void> {
         return new Promise(resolve => {
-            const finish = (): void => {
-                this.socket.off("drain", finish);
-                this.socket.off("close", finish);
-                resolve();
-            };
-            this.socket.on("drain", finish);
-            this.socket.on("close", finish);
+            this.roomWanted.push(resolve);
+            this.socket.once("drain", () => this.tellRoom());
+            this.tellRoomIfAny();
         });
     }
 
-    end(): void {
+    async end(): Promise<void> {
+        while (this.pacedBytes > 0 && !this.isWithdrawn) {
+            await new Promise<void>(resolve => this.roomWanted.push(resolve));
+        }
         this.finish(encodeFrame(FrameKind.AnswerEnd, this.id));
     }
 
+    private pace(part: Buffer): void {
+        this.pacedBytes += part.length;
+        this.pacer.add({
+            bytes: part.length,
+            isUnwanted: () => this.isWithdrawn,
+            send: () => {
+                this.send(encodeFrame(FrameKind.AnswerData, this.id, part));
+                this.pacedBytes -= part.length;
+                this.tellRoomIfAny();
+            },
+        });
+    }
+
+    private tellRoomIfAny(): void {
+        if (this.isWithdrawn || this.socket.destroyed || this.hasRoom()) {
+            this.tellRoom();
+        }
+    }
+
+    private hasRoom(): boolean {
+        return this.pacedBytes <= maxPacedBytes && this.socket.writableLength <= maxPacedBytes;
+    }
+
+    private tellRoom(): void {
+        const waiting = this.roomWanted;
+        this.roomWanted = [];
+        waiting.forEach(resolve => resolve());
+    }
+
     private finish(frame: Buffer): void {
         this.send(frame);
         this.connection.forget(this.id);
--- a/transport/forwarding/src/peerClient.ts
+++ b/transport/forwarding/src/peerClient.ts
@@ -53,6 +53,8 @@
     proceed(body: Buffer): void;
     /** Takes the offer back, or cancels the call. */
     withdraw(): void;
+    /** Whether anything has arrived from the node since the offer was made. */
+    isHeard(): boolean;
 }
 
 /** Connections to other nodes. */
@@ -128,6 +130,7 @@
     private readonly observers = new Map<number, OfferObserver>();
     private reported: ((report: NodeReport | undefined) => void) | undefined;
     private offers = 0;
+    private framesHeard = 0;
     private isRetired = false;
 
     constructor(readonly address: string, private readonly closed: () => void) {
@@ -139,6 +142,7 @@
 
     offer(message: OfferMessage, observer: OfferObserver): OfferInProgress {
         const id = ++this.offers;
+        const heardBefore = this.framesHeard;
         this.observers.set(id, observer);
         this.connection.send(encodeMessage(FrameKind.Offer, id, message));
         return {
@@ -151,6 +155,7 @@
                     this.closeIfDone();
                 }
             },
+            isHeard: () => this.framesHeard > heardBefore,
         };
     }
 
@@ -170,6 +175,7 @@
     }
 
     private take({ kind, offer, payload }: Frame): void {
+        this.framesHeard++;
         const observer = this.observers.get(offer);
         switch (kind) {
             case FrameKind.Queued:
--- /dev/null
+++ b/transport/forwarding/test/answerPacer.test.ts
@@ -0,0 +1,72 @@
+import { ManualClock } from "@bilberrycroft/core.clock";
+import { AnswerPacer } from "@bilberrycroft/transport.forwarding";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+
+const partBytes = 16_384;
+/** 10 Mbit/s. */
+const linkBytesPerSecond = 1_250_000;
+
+describe("AnswerPacer", () => {
+    let clock: ManualClock;
+    let pacer: AnswerPacer;
+    let sent: string[];
+
+    beforeEach(() => {
+        vi.useFakeTimers();
+        clock = new ManualClock();
+        pacer = new AnswerPacer({ clock, linkBytesPerSecond });
+        sent = [];
+    });
+    afterEach(() => {
+        pacer.close();
+        vi.useRealTimers();
+    });
+
+    const add = (name: string, isUnwanted = false): void =>
+        pacer.add({ bytes: partBytes, isUnwanted: () => isUnwanted, send: () => sent.push(name) });
+    const pass = (milliseconds: number): void => {
+        for (let count = 0; count < milliseconds; count++) {
+            clock.advance(1);
+            vi.advanceTimersByTime(1);
+        }
+    };
+
+    it("sends in order and below the rate of the link", () => {
+        for (let part = 0; part < 100; part++) {
+            add(String(part));
+        }
+        pass(500);
+        expect(sent.length * partBytes).toBeLessThan(0.9 * 0.5 * linkBytesPerSecond + partBytes);
+        expect(sent.length * partBytes).toBeGreaterThan(0.7 * 0.5 * linkBytesPerSecond);
+        expect(sent).toEqual(sent.map((_, index) => String(index)));
+        pass(1_500);
+        expect(sent).toHaveLength(100);
+        expect(pacer.backlogMs).toBeLessThan(1);
+    });
+
+    it("tells the time until all that waits has been sent", () => {
+        for (let part = 0; part < 65; part++) {
+            add(String(part));
+        }
+        expect(pacer.backlogMs).toBeCloseTo(1_000, -2);
+    });
+
+    it("spends no time on what nobody waits for", () => {
+        add("first");
+        for (let part = 0; part < 50; part++) {
+            add("unwanted", true);
+        }
+        add("last");
+        pass(30);
+        expect(sent).toEqual(["first", "last"]);
+    });
+
+    it("lets everything pass where the link is not known", () => {
+        pacer = new AnswerPacer({ clock, linkBytesPerSecond: undefined });
+        for (let part = 0; part < 1_000; part++) {
+            add(String(part));
+        }
+        expect(sent).toHaveLength(1_000);
+        expect(pacer.backlogMs).toBe(0);
+    });
+});
