Send the answers that can still be in time first; notice removals at every node

Change: the pacer sends those that can still meet their objective first, the shortest before longer ones; all are delivered. A removal counts as the newest change of the table, so that nodes which do not read the store hear of it and bring back an entry that lapsed. A node that reads the store only for want of others retries more slowly in an outage. node-slow is logged. Ruled out: free slots (manuels has them), crossing zones (priced above the worth of an answer).

--- a/coordination/relay/src/objectTable.ts
+++ b/coordination/relay/src/objectTable.ts
@@ -55,10 +55,12 @@
         if (revision < this.storeRevision) {
             return false;
         }
+        const before = [...this.objectsByName.keys()];
         this.objectsByName = new Map(objects.map(object => [object.name, object]));
         this.removals = [];
         this.removalsSince = revision;
-        this.advance(newestOf(objects), revision);
+        const isAnyGone = before.some(name => !this.objectsByName.has(name));
+        this.advance(isAnyGone ? revision : newestOf(objects), revision);
         return true;
     }
 
@@ -70,7 +72,9 @@
             latest.filter(({ isRemoved }) => isRemoved).map(({ object }) => object.name),
             revision,
         );
-        this.advance(newestOf(changes.map(({ object }) => object)), revision);
+        // The revision of a removed object may be that of its last change; other nodes are to notice its removal too.
+        const isAnyGone = changes.some(({ isRemoved }) => isRemoved);
+        this.advance(isAnyGone ? revision : newestOf(changes.map(({ object }) => object)), revision);
     }
 
     /** Takes what another node passes on. Returns whether anything is new. */
--- a/coordination/relay/src/sourceSelection.ts
+++ b/coordination/relay/src/sourceSelection.ts
@@ -23,6 +23,8 @@
 export interface RelayRole {
     /** It reads the store itself. */
     readonly readsStore: boolean;
+    /** It does so only for want of a node that it could follow, and may take its time. */
+    readonly isSubstitute: boolean;
     /** Nodes that it follows, those of its own zone first. */
     readonly follows: readonly RelayNode[];
 }
@@ -127,9 +129,10 @@
             }
         }
         if (readers > 0 && !readsStore) {
-            return { readsStore, follows };
+            return { readsStore, isSubstitute: false, follows };
         }
-        return { readsStore: true, follows: [...follows, ...this.chooseInOtherZones()] };
+        const isSubstitute = !readsStore && follows.length > 0;
+        return { readsStore: true, isSubstitute, follows: [...follows, ...this.chooseInOtherZones()] };
     }
 
     private chooseInOtherZones(): RelayNode[] {
--- a/coordination/relay/test/objectTable.test.ts
+++ b/coordination/relay/test/objectTable.test.ts
@@ -29,6 +29,17 @@
         expect(table.objects.size).toBe(1);
     });
 
+    it("tells a removal as its newest change, whatever revision the removed object has", () => {
+        const table = new ObjectTable();
+        table.replaceAll([{ name: "a", revision: 3, value: 1 }], 7);
+        table.apply([change("a", 3, true)], 9);
+        expect(table.newestChange).toBe(9);
+        const read = new ObjectTable();
+        read.replaceAll([{ name: "a", revision: 3, value: 1 }], 7);
+        read.replaceAll([], 9);
+        expect(read.newestChange).toBe(9);
+    });
+
     it("agrees with the store, from whichever node and however late changes come", () => {
         const step = fc.record({
             name: fc.constantFrom("a", "b", "c", "d"),
--- a/coordination/relay/test/sourceSelection.test.ts
+++ b/coordination/relay/test/sourceSelection.test.ts
@@ -86,6 +86,9 @@
             nodes.forEach(({ node }) => zone.withoutStore.add(node));
             zone.settle();
             expect(zone.readers()).toHaveLength(nodes.length);
+            const substitutes = [...zone.selections.values()].filter(selection => selection.decide().isSubstitute);
+            // The first four, in which readers are looked for, try in their own right.
+            expect(substitutes).toHaveLength(nodes.length - 4);
         });
 
         it("takes a node that goes silent for lost, and tries it again", () => {
@@ -95,14 +98,14 @@
             selection.stateHeard("early", true);
             expect(selection.decide().readsStore).toBe(false);
             clock.advance(3 * stateIntervalMs);
-            expect(selection.decide()).toEqual({ readsStore: true, follows: [] });
+            expect(selection.decide()).toEqual({ readsStore: true, isSubstitute: false, follows: [] });
             clock.advance(4 * stateIntervalMs);
             expect(names(selection.decide().follows)).toEqual(["early"]);
         });
 
         it("reads while it knows nobody", () => {
             const selection = new SourceSelection({ clock, node: "alone", zone: "z1" });
-            expect(selection.decide()).toEqual({ readsStore: true, follows: [] });
+            expect(selection.decide()).toEqual({ readsStore: true, isSubstitute: false, follows: [] });
         });
     });
 
--- a/daemons/sidecar/src/calls/callerCall.ts
+++ b/daemons/sidecar/src/calls/callerCall.ts
@@ -234,6 +234,7 @@
         state.handle.withdraw();
         if (state.handle.isHeard()) {
             // The node is there, only slow: the call goes elsewhere, and the next wait for it is longer.
+            this.services.log.info("node-slow", this.attemptFields(state));
             this.services.directory.responded(state.node, this.services.clock.now() - state.offeredAt);
             this.endAttempt(attempt, { kind: AttemptEndKind.Unreachable });
         }
--- a/daemons/sidecar/src/tasks/collectionTask.ts
+++ b/daemons/sidecar/src/tasks/collectionTask.ts
@@ -44,6 +44,8 @@
 /** Wait after a call that failed; doubled up to the longest and spread over its upper half. */
 const firstRetryMs: Milliseconds = 100;
 const longestRetryMs: Milliseconds = 1_000;
+/** For a node that reads for want of others: in an outage of the store those wait for it, and tell this one. */
+const longestSubstituteRetryMs: Milliseconds = 4_000;
 /**
  * A node that others have overtaken for this long takes its watch, or what it follows, for dead. Readers that gather
  * changes are behind for less; a change of the configuration is due within two seconds.
@@ -56,6 +58,7 @@
     readonly contents = new Subject<CollectionContent>();
     private readonly table = new ObjectTable();
     private isReading = true;
+    private isSubstitute = false;
     /** The next call reads the whole collection. */
     private mustRead = true;
     private isReachable = true;
@@ -99,8 +102,12 @@
         this.wake();
     }
 
-    /** Sets whether this node reads the store. Until the collection is known it does in any case. */
-    setReading(isReading: boolean): void {
+    /**
+     * Sets whether this node reads the store, and whether only for want of others that do. Until the collection is
+     * known it reads in any case.
+     */
+    setReading(isReading: boolean, isSubstitute = false): void {
+        this.isSubstitute = isSubstitute;
         if (this.isReading === isReading) {
             return;
         }
@@ -249,7 +256,8 @@
     }
 
     private retryWaitMs(): Milliseconds {
-        const longest = Math.min(longestRetryMs, firstRetryMs * 2 ** Math.min(this.failures, 10));
+        const bound = this.isSubstitute && this.hasContent ? longestSubstituteRetryMs : longestRetryMs;
+        const longest = Math.min(bound, firstRetryMs * 2 ** Math.min(this.failures, 10));
         return longest * (1 + this.options.random.nextFraction()) / 2;
     }
 }
--- a/daemons/sidecar/src/tasks/relayTask.ts
+++ b/daemons/sidecar/src/tasks/relayTask.ts
@@ -124,9 +124,9 @@
     /** Takes on the role that the selection decides for. */
     private review(): void {
         const { selection, configurations, nodes, log } = this.options;
-        const { readsStore, follows } = selection.decide();
-        configurations.setReading(readsStore);
-        nodes.setReading(readsStore);
+        const { readsStore, isSubstitute, follows } = selection.decide();
+        configurations.setReading(readsStore, isSubstitute);
+        nodes.setReading(readsStore, isSubstitute);
         const wanted = new Map(follows.map(node => [node.node, node]));
         for (const [name, { node, connection }] of this.followed) {
             if (wanted.get(name)?.address !== node.address) {
--- a/transport/forwarding/src/offerListener.ts
+++ b/transport/forwarding/src/offerListener.ts
@@ -2,6 +2,7 @@
  * Takes the connections of other nodes and the offers on them.
  */
 import { createServer, type Socket } from "node:net";
+import type { Milliseconds } from "@bilberrycroft/core.clock";
 import {
     type AnswerHead,
     type ContentRequest,
@@ -17,7 +18,7 @@
     type PeerState,
     type Refusal,
 } from "@bilberrycroft/protocol.forwarding";
-import type { AnswerPacer } from "./answerPacer";
+import type { AnswerPacer, PacedAnswer } from "./answerPacer";
 import { FrameConnection } from "./frameConnection";
 
 /** What the target's node observes of an offer. */
@@ -192,6 +193,8 @@
 
 class OfferOnConnection implements IncomingOffer {
     private pacedBytes = 0;
+    private pacedAnswer: PacedAnswer | undefined;
+    private readonly objectiveAt: Milliseconds;
     private roomWanted: (() => void)[] = [];
     private observer: IncomingOfferObserver | undefined;
     isWithdrawn = false;
@@ -202,7 +205,9 @@
         private readonly socket: Socket,
         private readonly connection: PeerConnection,
         private readonly pacer: AnswerPacer,
-    ) {}
+    ) {
+        this.objectiveAt = pacer.timeIn(message.offer.objectiveMs);
+    }
 
     observe(observer: IncomingOfferObserver): void {
         this.observer = observer;
@@ -268,15 +273,16 @@
 
     private pace(part: Buffer): void {
         this.pacedBytes += part.length;
-        this.pacer.add({
-            bytes: part.length,
+        this.pacedAnswer ??= {
+            objectiveAt: this.objectiveAt,
             isUnwanted: () => this.isWithdrawn,
-            send: () => {
-                this.send(encodeFrame(FrameKind.AnswerData, this.id, part));
-                this.pacedBytes -= part.length;
+            send: sent => {
+                this.send(encodeFrame(FrameKind.AnswerData, this.id, sent));
+                this.pacedBytes -= sent.length;
                 this.tellRoomIfAny();
             },
-        });
+        };
+        this.pacer.add(this.pacedAnswer, part);
     }
 
     private tellRoomIfAny(): void {
--- a/transport/forwarding/test/answerPacer.test.ts
+++ b/transport/forwarding/test/answerPacer.test.ts
@@ -22,8 +22,13 @@
         vi.useRealTimers();
     });
 
-    const add = (name: string, isUnwanted = false): void =>
-        pacer.add({ bytes: partBytes, isUnwanted: () => isUnwanted, send: () => sent.push(name) });
+    const add = (name: string, { isUnwanted = false, objectiveMs = 60_000, parts = 1 } = {}): void => {
+        const objectiveAt = clock.now() + objectiveMs;
+        const answer = { objectiveAt, isUnwanted: () => isUnwanted, send: () => sent.push(name) };
+        for (let part = 0; part < parts; part++) {
+            pacer.add(answer, Buffer.alloc(partBytes));
+        }
+    };
     const pass = (milliseconds: number): void => {
         for (let count = 0; count < milliseconds; count++) {
             clock.advance(1);
@@ -44,6 +49,17 @@
         expect(pacer.backlogMs).toBeLessThan(1);
     });
 
+    it("sends short answers first, and those that can no longer be in time last", () => {
+        add("taken");
+        add("long", { parts: 20 });
+        add("late", { parts: 2, objectiveMs: 1 });
+        add("short", { parts: 2 });
+        pass(1_000);
+        const order = [...new Set(sent)];
+        expect(order).toEqual(["taken", "short", "long", "late"]);
+        expect(sent).toHaveLength(25);
+    });
+
     it("tells the time until all that waits has been sent", () => {
         for (let part = 0; part < 65; part++) {
             add(String(part));
@@ -54,7 +70,7 @@
     it("spends no time on what nobody waits for", () => {
         add("first");
         for (let part = 0; part < 50; part++) {
-            add("unwanted", true);
+            add("unwanted", { isUnwanted: true });
         }
         add("last");
         pass(30);
