Explain a request from the logs of several nodes

Cause: to follow a failed request one had to search the logs of all nodes by hand, and lines on an attempt named the asked node in the field of the writing one. Change: bilberrycroft explain-request <id> <files...> shows the lines that name the request or an inner call of it, in order, and what each node believed before its first line. The other node of a line stands in the field peer.

--- a/cli/operator/src/commandLine.ts
+++ b/cli/operator/src/commandLine.ts
@@ -18,6 +18,7 @@
 import { toPrintable } from "./formatting";
 import type { NodeClient } from "./nodeClient";
 import { drainNode, explain, listNodes, reportWait, showMetrics, showStatus } from "./nodeCommands";
+import { explainRequest } from "./requestHistory";
 import { type CommandResult, ExitCode, UsageProblem } from "./results";
 import { type OperatorSettings, resolveSettings } from "./settings";
 import { undoVersion, type UndoOutcome } from "./undoing";
@@ -111,6 +112,11 @@
             : showVersion(openStore(session), requireWholeNumber("version", version)))
         .option("--limit <versions>", `Number of versions, ${defaultHistoryLimit} by default`);
     defineNodeCommands(define);
+    cli.command("explain-request <id> <...files>", "Show what log files of nodes tell of one request")
+        .action((id: string, files: readonly string[]) => Promise.resolve(explainRequest(
+            String(id),
+            files.map(file => readTextFile(environment, String(file))),
+        )));
     cli.help();
     return cli;
 }
@@ -213,6 +219,10 @@
 }
 
 function readRulesFile({ environment }: Session, file = ""): RulesFile {
+    return readTextFile(environment, file);
+}
+
+function readTextFile(environment: CommandEnvironment, file: string): { readonly name: string; readonly text: string } {
     try {
         return { name: file, text: environment.readText(file) };
     }
--- a/cli/operator/src/index.ts
+++ b/cli/operator/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./history";
 export * from "./nodeClient";
 export * from "./records";
+export * from "./requestHistory";
 export * from "./results";
 export * from "./settings";
 export * from "./statusView";
--- a/daemons/sidecar/src/calls/callerCall.ts
+++ b/daemons/sidecar/src/calls/callerCall.ts
@@ -416,7 +416,7 @@
             call: this.call.callId,
             route: this.call.route,
             version: this.call.version,
-            node: state.node,
+            peer: state.node,
             target: state.target,
             expectedMs: Math.round(state.expectedMs),
             ageMs: Math.round(this.services.clock.now() - state.offeredAt),
--- a/daemons/sidecar/src/tasks/probeTask.ts
+++ b/daemons/sidecar/src/tasks/probeTask.ts
@@ -55,7 +55,7 @@
         directory.loadHeard(node, report.load);
         this.options.stateHeard(report.state);
         if (directory.isTrusted(node)) {
-            log.info("node-trusted", { node, availability: report.load.availability });
+            log.info("node-trusted", { peer: node, availability: report.load.availability });
         }
     }
 }
--- a/daemons/sidecar/src/tasks/relayTask.ts
+++ b/daemons/sidecar/src/tasks/relayTask.ts
@@ -154,7 +154,7 @@
             lost: reason => {
                 this.followed.delete(name);
                 this.options.selection.lost(name);
-                this.options.log.info("followed-node-lost", { node: name, reason });
+                this.options.log.info("followed-node-lost", { peer: name, reason });
                 this.review();
             },
         });
