Decode relayed content with the common parser; look at running calls only for large answers

Found while reading the whole change: decodeContent parsed JSON beside parseFields, which the other messages use, and each offer summed the answers of running calls before it knew that its own answer is short. Behaviour is the same. npm test: 1038 passed.

--- a/coordination/forwarding/src/targetQueue.ts
+++ b/coordination/forwarding/src/targetQueue.ts
@@ -269,11 +269,14 @@
      * the call waits and runs is not in its way.
      */
     private expectedSendMs(transferMs: Milliseconds, untilAnsweredMs: Milliseconds): Milliseconds {
+        if (transferMs < shortTransferMs) {
+            return 0;
+        }
         let backlogMs = this.options.linkBacklogMs();
         this.running.forEach(running => {
             backlogMs += running.transferMs;
         });
-        return transferMs < shortTransferMs ? 0 : Math.max(0, backlogMs - untilAnsweredMs) + transferMs;
+        return Math.max(0, backlogMs - untilAnsweredMs) + transferMs;
     }
 
     /** Time until a slot is free for the call, counting the calls that would go first. */
--- a/protocol/forwarding/src/relayMessages.ts
+++ b/protocol/forwarding/src/relayMessages.ts
@@ -5,7 +5,7 @@
  * node which follows several others gets it once.
  */
 import { deflateRawSync, inflateRawSync } from "node:zlib";
-import { isNumber, isRecord, parseJson } from "@bilberrycroft/core.json";
+import { isNumber } from "@bilberrycroft/core.json";
 import { parseFields, parseStateMark, type StateMark } from "./messages";
 
 /** Content that nodes pass on. */
@@ -63,19 +63,16 @@
 
 /** Decodes content; `undefined` if the bytes are not what `encodeContent` makes. */
 export function decodeContent(payload: Buffer): ReceivedContent | undefined {
-    let text: string;
+    let inflated: Buffer;
     try {
-        text = inflateRawSync(payload, { maxOutputLength: maxContentBytes }).toString("utf8");
+        inflated = inflateRawSync(payload, { maxOutputLength: maxContentBytes });
     }
     catch {
         // Not compressed bytes, or more than the bound.
         return undefined;
     }
-    const fields = parseJson(text);
-    if (!isRecord(fields)) {
-        return undefined;
-    }
-    return contents.has(fields.content)
+    const fields = parseFields(inflated);
+    return fields !== undefined && contents.has(fields.content)
         ? { content: fields.content as RelayedContent, value: fields.value }
         : undefined;
 }
