Answer 504 when the target's node observes the deadline first

Cause: the target's node reaches the deadline of a call up to some milliseconds before the caller's node and reports the loss as timed-out; the caller's node ignored the reason and responded with answer-lost (502). A lost attempt now carries its reason. An attempt whose caller left while its answer streamed is removed from the load estimate. Test: 'reports a timeout if the target's node observes the deadline first' did not compile, and its outcome was answer-lost, before.

--- a/coordination/forwarding/src/callPlan.ts
+++ b/coordination/forwarding/src/callPlan.ts
@@ -82,7 +82,11 @@
     | { readonly kind: AttemptEndKind.Unreachable }
     | { readonly kind: AttemptEndKind.Answered }
     | { readonly kind: AttemptEndKind.Failed }
-    | { readonly kind: AttemptEndKind.Lost };
+    | {
+        readonly kind: AttemptEndKind.Lost;
+        /** `TimedOut` if the target's node observed the deadline of the call first. */
+        readonly reason: CallReason;
+    };
 
 /** Dependencies that all plans of a node share. */
 export interface PlanDependencies {
@@ -242,6 +246,7 @@
                 return this.call.route.repeatable ? this.continueWithBudget() : this.endWithFailure();
             case AttemptEndKind.Lost:
                 this.mayHaveRun = true;
+                this.reason = end.reason;
                 return this.call.route.repeatable ? this.continueWithBudget() : this.endWithFailure();
         }
     }
--- a/coordination/forwarding/test/callPlan.test.ts
+++ b/coordination/forwarding/test/callPlan.test.ts
@@ -22,9 +22,11 @@
 const overloaded: AttemptEnd = { kind: AttemptEndKind.Refused, reason: CallReason.Overloaded, retryAfterMs: 90 };
 const notRun: AttemptEnd = { kind: AttemptEndKind.NotRun, reason: CallReason.TargetRefused, retryAfterMs: 0 };
 
+const lost: AttemptEnd = { kind: AttemptEndKind.Lost, reason: CallReason.AnswerLost };
+
 const runEnds: readonly AttemptEnd[] = [
     notRun,
-    { kind: AttemptEndKind.Lost },
+    lost,
     { kind: AttemptEndKind.Failed },
     { kind: AttemptEndKind.Answered },
 ];
@@ -92,11 +94,11 @@
 
     describe("after the grant", () => {
         it("resends a call that is not repeatable only if the target reports that it did not run it", () => {
-            const lost = createPlan(onceRoute);
-            lost.start();
-            expect(kinds(lost.handleGranted(1))).toEqual([PlanActionKind.Proceed]);
-            expect(lost.handleWakeUp()).toEqual([]);
-            expect(lost.handleAttemptEnd(1, { kind: AttemptEndKind.Lost }))
+            const lostPlan = createPlan(onceRoute);
+            lostPlan.start();
+            expect(kinds(lostPlan.handleGranted(1))).toEqual([PlanActionKind.Proceed]);
+            expect(lostPlan.handleWakeUp()).toEqual([]);
+            expect(lostPlan.handleAttemptEnd(1, lost))
                 .toEqual([{ kind: PlanActionKind.Fail, reason: CallReason.AnswerLost }]);
             const refused = createPlan(onceRoute);
             refused.start();
@@ -128,16 +130,16 @@
             unbudgeted.start();
             unbudgeted.handleGranted(1);
             expect(unbudgeted.handleWakeUp()).toEqual([]);
-            expect(kinds(unbudgeted.handleAttemptEnd(1, { kind: AttemptEndKind.Lost }))).toEqual([PlanActionKind.Fail]);
+            expect(kinds(unbudgeted.handleAttemptEnd(1, lost))).toEqual([PlanActionKind.Fail]);
         });
 
         it("does not exceed the target limit of the route", () => {
             const plan = createPlan(repeatableRoute);
             plan.start();
             plan.handleGranted(1);
-            plan.handleAttemptEnd(1, { kind: AttemptEndKind.Lost });
+            plan.handleAttemptEnd(1, lost);
             plan.handleGranted(2);
-            expect(kinds(plan.handleAttemptEnd(2, { kind: AttemptEndKind.Lost }))).toEqual([PlanActionKind.Fail]);
+            expect(kinds(plan.handleAttemptEnd(2, lost))).toEqual([PlanActionKind.Fail]);
         });
 
         it("does not exceed the target limit when a budgeted offer is queued and another target has a free slot", () => {
@@ -161,7 +163,7 @@
             plan.handleGranted(1);
             expect(kinds(plan.handleAttemptEnd(1, { kind: AttemptEndKind.Failed }))).toEqual([PlanActionKind.Offer]);
             plan.handleGranted(2);
-            expect(plan.handleAttemptEnd(2, { kind: AttemptEndKind.Lost }))
+            expect(plan.handleAttemptEnd(2, lost))
                 .toEqual([{ kind: PlanActionKind.Answer, attempt: 1 }]);
         });
     });
@@ -178,6 +180,14 @@
             expect(running.handleDeadline()[0]).toEqual({ kind: PlanActionKind.Fail, reason: CallReason.TimedOut });
         });
 
+        it("reports a timeout if the target's node observes the deadline first", () => {
+            const plan = createPlan(onceRoute);
+            plan.start();
+            plan.handleGranted(1);
+            expect(plan.handleAttemptEnd(1, { kind: AttemptEndKind.Lost, reason: CallReason.TimedOut }))
+                .toEqual([{ kind: PlanActionKind.Fail, reason: CallReason.TimedOut }]);
+        });
+
         it("withdraws all attempts when the caller disconnects, except a run that is not repeatable", () => {
             const once = createPlan(onceRoute);
             once.start();
--- a/daemons/sidecar/src/calls/callerCall.ts
+++ b/daemons/sidecar/src/calls/callerCall.ts
@@ -14,7 +14,15 @@
 import { assertNever } from "@bilberrycroft/core.errors";
 import type { EventLog } from "@bilberrycroft/core.eventLog";
 import { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
-import type { ResponseHead, NodeReport, Offer, ForwardedHeaders, Refusal, StateVersions } from "@bilberrycroft/protocol.forwarding";
+import type {
+    ForwardedHeaders,
+    Loss,
+    NodeReport,
+    Offer,
+    Refusal,
+    ResponseHead,
+    StateVersions,
+} from "@bilberrycroft/protocol.forwarding";
 import type { OfferInProgress, PeerClient } from "@bilberrycroft/transport.forwarding";
 import type { CallHeaderCodec } from "../ports";
 import { IncomingResponse } from "./incomingResponse";
@@ -64,6 +72,7 @@
 }
 
 interface AttemptState {
+    readonly attempt: number;
     readonly handle: OfferInProgress;
     readonly node: string;
     readonly address: string;
@@ -106,7 +115,9 @@
             return;
         }
         if (this.streaming !== undefined) {
-            this.streaming.handle.withdraw();
+            const { streaming } = this;
+            this.removeAttempt(streaming.attempt, streaming);
+            streaming.handle.withdraw();
             this.end(endWithoutResponse(CallOutcome.Unknown, undefined));
         }
         else if (!this.plan.hasEnded) {
@@ -173,7 +184,7 @@
                 onQueued: () => this.handleQueued(attempt),
                 onGranted: () => this.handleGranted(attempt),
                 onRefused: refusal => this.handleRefused(attempt, refusal),
-                onLost: ({ report }) => this.handleLost(attempt, report),
+                onLost: loss => this.handleLost(attempt, loss),
                 onResponseStart: head => this.handleResponseStart(attempt, head),
                 onResponseData: data => this.handleResponseData(attempt, data),
                 onResponseEnd: () => this.handleResponseEnd(attempt),
@@ -181,6 +192,7 @@
             },
         });
         this.attempts.set(attempt, {
+            attempt,
             handle,
             node: candidate.node,
             address: candidate.address,
@@ -248,7 +260,7 @@
         }
         if (state.isGranted) {
             this.services.log.warn("answer-lost", { ...this.attemptFields(state), reason });
-            this.endAttempt(attempt, { kind: AttemptEndKind.Lost });
+            this.endAttempt(attempt, { kind: AttemptEndKind.Lost, reason: CallReason.AnswerLost });
         }
         else {
             this.handleUnreachable(attempt, state, reason);
@@ -271,9 +283,9 @@
         this.endAttempt(attempt, { kind, reason, retryAfterMs });
     }
 
-    private handleLost(attempt: number, report: NodeReport): void {
+    private handleLost(attempt: number, { reason, report }: Loss): void {
         this.recordReport(attempt, report);
-        this.endAttempt(attempt, { kind: AttemptEndKind.Lost });
+        this.endAttempt(attempt, { kind: AttemptEndKind.Lost, reason });
     }
 
     private handleResponseStart(attempt: number, head: ResponseHead): void {
@@ -304,7 +316,7 @@
     private handleResponseEnd(attempt: number): void {
         const state = this.attempts.get(attempt);
         if (state?.response === undefined) {
-            return this.endAttempt(attempt, { kind: AttemptEndKind.Lost });
+            return this.endAttempt(attempt, { kind: AttemptEndKind.Lost, reason: CallReason.AnswerLost });
         }
         this.responses.set(attempt, state.response);
         if (this.streaming === state) {
