--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -33,7 +33,7 @@
 ];
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/target/**", "**/node_modules/**"] },
+    { ignores: ["**/dist/**", "target/**", "**/node_modules/**"] },
     ...tseslint.configs.recommended,
     stylistic.configs.customize({
         indent: 4,
@@ -90,4 +90,8 @@
         files: ["scripts/*.mjs", "eslint.config.mjs"],
         rules: { "no-restricted-syntax": "off" },
     },
+    {
+        files: ["scripts/*.cjs"],
+        rules: { "@typescript-eslint/no-require-imports": "off" },
+    },
 );
