--- a/coordination/forwarding/src/targetQueue.ts
+++ b/coordination/forwarding/src/targetQueue.ts
@@ -153,7 +153,8 @@
             return [];
         }
         this.running.delete(callId);
-        if (result !== RunResult.Cancelled) {
+        // A target that is full or was not reached by a cancelled call has not failed.
+        if (result !== RunResult.Cancelled && result !== RunResult.Shed) {
             const failed = result === RunResult.Answered ? 0 : 1;
             this.failureShare += failureEwmaWeight * (failed - this.failureShare);
         }
--- a/coordination/forwarding/test/targetQueue.test.ts
+++ b/coordination/forwarding/test/targetQueue.test.ts
@@ -188,6 +188,13 @@
     });
 
     describe("load", () => {
+        it("does not count calls as failed that a full target did not run", () => {
+            for (let shed = 0; shed < 20; shed++) {
+                queue.finish(offer(), RunResult.Shed);
+            }
+            expect(queue.load("r", 0).failureShare).toBe(0);
+        });
+
         it("reports the share of calls that the target fails", () => {
             for (let failed = 0; failed < 20; failed++) {
                 queue.finish(offer(), RunResult.Failed);
--- a/core/eventLog/src/index.ts
+++ b/core/eventLog/src/index.ts
@@ -114,9 +114,19 @@
 /** Standard output as a sink that discards lines while its reader does not keep up. */
 export class StandardOutput implements LineSink {
     private isFull = false;
+    private isBroken = false;
+
+    constructor() {
+        // Without a listener, a write after the reader of a pipe has gone would end the process.
+        process.stdout.on("error", error => {
+            this.isBroken = true;
+            process.stderr.write(`log lines are discarded: ${error.message}\n`);
+        });
+        process.stderr.on("error", () => undefined);
+    }
 
     write(line: string): boolean {
-        if (this.isFull) {
+        if (this.isFull || this.isBroken) {
             return false;
         }
         this.isFull = !process.stdout.write(`${line}\n`);
