--- a/daemons/sidecar/src/calls/targetCall.ts
+++ b/daemons/sidecar/src/calls/targetCall.ts
@@ -54,6 +54,7 @@
     private attempt: Attempt | undefined;
     private sentAt: Milliseconds = 0;
     private isCancelled = false;
+    private hasResponded = false;
     private forwardedBytes = 0;
     private flushed: Promise<void> = Promise.resolve();
 
@@ -98,6 +99,16 @@
         return this.flushed;
     }
 
+    /**
+     * The caller no longer needs the response. A call that is not repeatable runs to completion, because its effect is
+     * wanted even so; once its response has begun, the rest of it, which may have no end, is not.
+     */
+    handleWithdrawal(): void {
+        if (this.call.incoming.message.offer.repeatable || this.hasResponded) {
+            this.cancel();
+        }
+    }
+
     /** Cancels the call at the target, because its response is no longer needed. */
     cancel(): void {
         this.isCancelled = true;
@@ -132,6 +143,11 @@
         const { offer } = this.call.incoming.message;
         const head = services.codec.readTargetResponse(event.status, event.headers);
         services.recordTargetResponse();
+        this.hasResponded = true;
+        if (this.call.incoming.isWithdrawn) {
+            event.response.destroy();
+            return RunResult.Cancelled;
+        }
         if (head.callId !== undefined && head.callId !== offer.callId) {
             // The response belongs to an earlier call, so later responses on this connection cannot be matched either.
             event.response.destroy();
--- a/daemons/sidecar/src/tasks/targetTask.ts
+++ b/daemons/sidecar/src/tasks/targetTask.ts
@@ -238,12 +238,7 @@
         const call = new TargetCall({ incoming, body, deadlineAt }, this.services);
         incoming.observe({
             onBody: () => undefined,
-            onWithdrawn: () => {
-                // A non-repeatable call runs to completion, because its effect is wanted even without the caller.
-                if (offer.repeatable) {
-                    call.cancel();
-                }
-            },
+            onWithdrawn: () => call.handleWithdrawal(),
         });
         const result = await call.run();
         this.running.delete(offer.callId);
