Remember refusals: reject at once what all targets of a service have just refused

Load: three targets and more calls than they can run. Change: the caller's node remembers a refusal because of overload for a quarter of the time that the target's node gave for a return, for calls of the same or a lower priority, and refuses at once when all targets are in that state. Tried and dropped: a queue that orders by a safe run time and admits no late call under lasting overload.

--- a/coordination/forwarding/src/callPlan.ts
+++ b/coordination/forwarding/src/callPlan.ts
@@ -18,6 +18,10 @@
 export interface PlannedCall {
     readonly route: Route;
     readonly service: string;
+    /** Priority of the call; that of its outer call for an inner call. 0 is the highest. */
+    readonly priority: number;
+    /** The call was made by a target while it ran another call. */
+    readonly isInner: boolean;
     /** The call was made by a target during a repeated run of another call. */
     readonly isFromRepeat: boolean;
     readonly deadlineAt: Milliseconds;
@@ -88,6 +92,8 @@
         readonly reason: CallReason;
     };
 
+type Refusal = Extract<AttemptEnd, { kind: AttemptEndKind.Refused | AttemptEndKind.NotRun }>;
+
 /** Dependencies that all plans of a node share. */
 export interface PlanDependencies {
     readonly clock: Clock;
@@ -115,6 +121,7 @@
 interface AttemptState {
     phase: AttemptPhase;
     readonly node: string;
+    readonly spareOnly: boolean;
     /** The retry budget was charged, so the attempt may run beside or after another one. */
     readonly isBudgeted: boolean;
 }
@@ -193,6 +200,9 @@
             return [{ kind: PlanActionKind.Withdraw, attempt }];
         }
         state.phase = AttemptPhase.Granted;
+        if (!this.call.isInner) {
+            this.dependencies.directory.recordGrant(state.node, this.call.priority);
+        }
         this.targetsUsed++;
         const actions: PlanAction[] = [{ kind: PlanActionKind.Proceed, attempt }];
         for (const [other, { phase }] of this.attempts) {
@@ -231,8 +241,7 @@
         this.attempts.delete(attempt);
         switch (end.kind) {
             case AttemptEndKind.Refused:
-                this.refusedOffers++;
-                this.recordRefusal(end);
+                this.handleRefusal(state, end);
                 return this.continueWithoutBudget(state);
             case AttemptEndKind.Unreachable:
                 return this.continueWithoutBudget(state);
@@ -311,26 +320,45 @@
         return candidate === undefined ? undefined : [this.offer(candidate, spareOnly, isBudgeted)];
     }
 
+    /** Returns the best target; if all of them are known to refuse the call, records that as its refusal. */
     private chooseCandidate(): TargetCandidate | undefined {
-        const { service, route } = this.call;
-        return this.dependencies.directory.choose({
-            service,
-            route,
-            exclude: this.triedNodes,
-            responseBytes: this.responseBytes,
-        });
+        const { service, route, priority, isInner } = this.call;
+        const { directory } = this.dependencies;
+        const request = { service, route, exclude: this.triedNodes, responseBytes: this.responseBytes };
+        if (isInner) {
+            return directory.choose(request);
+        }
+        const candidate = directory.choose({ ...request, priority });
+        const retryAfterMs = candidate === undefined ? directory.overloadDelayMs({ ...request, priority }) : undefined;
+        if (retryAfterMs !== undefined) {
+            this.recordRefusal({ reason: CallReason.Overloaded, retryAfterMs });
+        }
+        return candidate;
     }
 
     private offer(candidate: TargetCandidate, spareOnly: boolean, isBudgeted: boolean): PlanAction {
         this.attemptCount++;
         this.triedNodes.add(candidate.node);
-        this.attempts.set(this.attemptCount, { phase: AttemptPhase.Offered, node: candidate.node, isBudgeted });
+        const { node } = candidate;
+        this.attempts.set(this.attemptCount, { phase: AttemptPhase.Offered, node, spareOnly, isBudgeted });
         return { kind: PlanActionKind.Offer, attempt: this.attemptCount, candidate, spareOnly, isRepeat: isBudgeted };
     }
 
-    private recordRefusal(end: { readonly reason: CallReason; readonly retryAfterMs: Milliseconds }): void {
-        this.reason = end.reason;
-        this.retryAfterMs = Math.min(this.retryAfterMs ?? end.retryAfterMs, end.retryAfterMs);
+    private recordRefusal({ reason, retryAfterMs }: Pick<Refusal, "reason" | "retryAfterMs">): void {
+        this.reason = reason;
+        this.retryAfterMs = Math.min(this.retryAfterMs ?? retryAfterMs, retryAfterMs);
+    }
+
+    private handleRefusal({ node, spareOnly }: AttemptState, refusal: Refusal): void {
+        const { priority, isInner } = this.call;
+        this.refusedOffers++;
+        this.recordRefusal(refusal);
+        // Inner calls are queued past their objective, and an offer for a free slot is not queued at all: refusals of
+        // either say little about other calls.
+        if (refusal.reason === CallReason.Overloaded && !isInner && !spareOnly) {
+            const { retryAfterMs } = refusal;
+            this.dependencies.directory.recordRefusal(node, { priority, retryAfterMs });
+        }
     }
 
     /** Ends the call with the failure response of a target if there is one, or with an error of this node. */
--- a/coordination/forwarding/src/peerRecord.ts
+++ b/coordination/forwarding/src/peerRecord.ts
@@ -30,6 +30,26 @@
     readonly otherCalls: number;
 }
 
+/** A refusal because of overload. */
+export interface OverloadRefusal {
+    /** Priority of the refused call; calls of the same or a lower priority would be refused too. */
+    readonly priority: number;
+    /** Time after which the target's node expects to have room. */
+    readonly retryAfterMs: Milliseconds;
+}
+
+interface Overload {
+    readonly priority: number;
+    readonly avoidUntil: Milliseconds;
+    readonly retryAt: Milliseconds;
+}
+
+/**
+ * Share of the announced time for which a target that refused a call is not offered others. Many nodes offer calls to
+ * the same target, so a short pause of each of them leaves enough offers to keep it busy.
+ */
+const avoidedShare = 0.25;
+
 export class PeerRecord implements RankedTarget {
     readonly rank: number;
     readonly isLocal: boolean;
@@ -37,6 +57,7 @@
     private readonly runTimes = new Map<string, RunTimeObservation>();
     readonly responseTimes = new ResponseTimes();
     private latestLoad: LoadObservation | undefined;
+    private overload: Overload | undefined;
     private nextProbeAt: Milliseconds | undefined;
     private probeDelayMs = initialProbeDelayMs;
 
@@ -58,6 +79,7 @@
         if (!isSame) {
             this.runTimes.clear();
             this.latestLoad = undefined;
+            this.overload = undefined;
             this.markHealthy();
         }
     }
@@ -75,6 +97,25 @@
         this.localCallIds.delete(callId);
     }
 
+    recordRefusal({ priority, retryAfterMs }: OverloadRefusal, now: Milliseconds): void {
+        this.overload = { priority, avoidUntil: now + avoidedShare * retryAfterMs, retryAt: now + retryAfterMs };
+    }
+
+    /** Records that the target granted a call of this priority. */
+    recordGrant(priority: number): void {
+        if (this.overload !== undefined && priority >= this.overload.priority) {
+            this.overload = undefined;
+        }
+    }
+
+    /** Time until a call of this priority is worth an offer, if the target has just refused such calls. */
+    overloadDelayMs(priority: number, now: Milliseconds): Milliseconds | undefined {
+        const { overload } = this;
+        return overload !== undefined && priority >= overload.priority && now < overload.avoidUntil
+            ? overload.retryAt - now
+            : undefined;
+    }
+
     /** Records a load report; `route` is the route of the call that it came with, `undefined` for a probe. */
     recordLoad(load: TargetLoad, route: string | undefined, now: Milliseconds): void {
         const otherCalls = Math.max(0, load.running + load.queued - this.localCallIds.size);
--- a/coordination/forwarding/src/targetDirectory.ts
+++ b/coordination/forwarding/src/targetDirectory.ts
@@ -9,7 +9,7 @@
 import type { Random } from "@bilberrycroft/core.random";
 import { type NodeEntry, type TargetLoad, TargetPhase } from "@bilberrycroft/protocol.forwarding";
 import type { Route } from "@bilberrycroft/state.routes";
-import { PeerRecord } from "./peerRecord";
+import { type OverloadRefusal, PeerRecord } from "./peerRecord";
 import { computeRank, selectSubset, sortByRank } from "./targetSubset";
 
 export interface TargetDirectoryOptions {
@@ -36,6 +36,8 @@
 export interface CandidateRequest {
     readonly service: string;
     readonly route: Route;
+    /** Priority of the call; `undefined` if it is offered to overloaded targets too, as inner calls are. */
+    readonly priority?: number | undefined;
     /** Nodes that this call has already tried. */
     readonly exclude: ReadonlySet<string>;
     /** Average response size on the route. */
@@ -145,10 +147,43 @@
     /** Target with the lowest cost; `undefined` if none is eligible. Healthy nodes take precedence. */
     choose(request: CandidateRequest): TargetCandidate | undefined {
         const targets = this.byService.get(request.service) ?? [];
+        const candidates = this.selectCandidates(targets, request);
+        const { priority } = request;
+        if (priority === undefined) {
+            return this.findCheapest(candidates, request);
+        }
+        const now = this.options.clock.now();
+        const available = candidates.filter(record => record.overloadDelayMs(priority, now) === undefined);
+        return this.findCheapest(available, request);
+    }
+
+    /**
+     * Time after which a call may return that is refused without an offer, because all its targets have just refused
+     * such calls; `undefined` if any target is worth an offer or there is none.
+     */
+    overloadDelayMs(request: CandidateRequest & { readonly priority: number }): Milliseconds | undefined {
+        const now = this.options.clock.now();
+        const delays = this.selectCandidates(this.byService.get(request.service) ?? [], request)
+            .map(record => record.overloadDelayMs(request.priority, now));
+        const known = delays.filter(delayMs => delayMs !== undefined);
+        return known.length === 0 || known.length < delays.length ? undefined : Math.min(...known);
+    }
+
+    /** Records that the node refused a call because its target is overloaded. */
+    recordRefusal(node: string, refusal: OverloadRefusal): void {
+        this.records.get(node)?.recordRefusal(refusal, this.options.clock.now());
+    }
+
+    /** Records that the node granted a call of this priority. */
+    recordGrant(node: string, priority: number): void {
+        this.records.get(node)?.recordGrant(priority);
+    }
+
+    private selectCandidates(targets: readonly PeerRecord[], { exclude }: CandidateRequest): PeerRecord[] {
         const isEligible = ({ entry }: PeerRecord): boolean =>
-            entry.target?.phase === TargetPhase.Ready && !request.exclude.has(entry.node);
+            entry.target?.phase === TargetPhase.Ready && !exclude.has(entry.node);
         const healthy = selectSubset(targets, record => record.isHealthy && isEligible(record));
-        return this.findCheapest(healthy.length > 0 ? healthy : selectSubset(targets, isEligible), request);
+        return healthy.length > 0 ? healthy : selectSubset(targets, isEligible);
     }
 
     private findCheapest(records: readonly PeerRecord[], request: CandidateRequest): TargetCandidate | undefined {
--- a/coordination/forwarding/test/callPlan.test.ts
+++ b/coordination/forwarding/test/callPlan.test.ts
@@ -57,6 +57,8 @@
         return new CallPlan(services, {
             route,
             service: "s",
+            priority: route.priority,
+            isInner: false,
             isFromRepeat: false,
             deadlineAt: clock.now() + 1_000,
         }, 100);
--- /dev/null
+++ b/coordination/forwarding/test/loadPlay.ts
@@ -0,0 +1,279 @@
+/**
+ * Plays a load in virtual time against the decisions of this package: callers' nodes with their directories and call
+ * plans, and target queues with their targets. No sockets and no wall clock; a seed gives the same result every time.
+ */
+import {
+    AttemptEndKind,
+    CallPlan,
+    OfferDecisionKind,
+    type PlanAction,
+    PlanActionKind,
+    type QueueEvent,
+    RetryBudgets,
+    RouteLatencyTable,
+    RunResult,
+    TargetDirectory,
+    TargetQueue,
+} from "@bilberrycroft/coordination.forwarding";
+import { ManualClock, type Milliseconds } from "@bilberrycroft/core.clock";
+import { createSeededRandom, type Random } from "@bilberrycroft/core.random";
+import { TargetAvailability, TargetPhase } from "@bilberrycroft/protocol.forwarding";
+import type { Route } from "@bilberrycroft/state.routes";
+
+export interface PlayedLoad {
+    readonly seed: number;
+    readonly callerNodes: number;
+    readonly targets: number;
+    readonly slots: number;
+    /** Mean run time; run times are log-normal. */
+    readonly runMs: Milliseconds;
+    /** Calls per second of all callers, as a multiple of what the targets can run. */
+    readonly loadFactor: number;
+    readonly durationMs: Milliseconds;
+    readonly route: Route;
+    readonly deadlineMs: Milliseconds;
+}
+
+/** What the callers got. */
+export interface PlayedResult {
+    readonly asked: number;
+    readonly inTime: number;
+    readonly late: number;
+    readonly refused: number;
+    readonly offers: number;
+    /** Share of the targets' slot time that was used. */
+    readonly utilization: number;
+    /** Times from a caller's attempt to its refusal. */
+    readonly refusalTimesMs: readonly Milliseconds[];
+}
+
+interface PlayedCall {
+    readonly askedAt: Milliseconds;
+    readonly attemptedAt: Milliseconds;
+    readonly caller: number;
+    readonly mayReturn: boolean;
+}
+
+const networkDelayMs: Milliseconds = 1;
+/** Spread of the run times: the standard deviation of their logarithm. */
+const runTimeSigma = 0.4;
+const maxReturnShare = 1 / 3;
+
+export class LoadPlay {
+    private readonly clock = new ManualClock();
+    private readonly random: Random;
+    private readonly directories: TargetDirectory[];
+    private readonly queues: TargetQueue[];
+    private readonly budgets: RetryBudgets;
+    private readonly latencies = new RouteLatencyTable();
+    private readonly events: { readonly at: Milliseconds; readonly run: () => void }[] = [];
+    private readonly granted = new Map<string, () => void>();
+    private readonly result = { asked: 0, inTime: 0, late: 0, refused: 0, offers: 0, busyMs: 0 };
+    private readonly refusalTimesMs: Milliseconds[] = [];
+
+    constructor(private readonly load: PlayedLoad) {
+        this.random = createSeededRandom(load.seed);
+        const { clock, random } = this;
+        const entries = Array.from({ length: load.targets }, (_, index) => ({
+            node: `n-${index}`,
+            zone: "z",
+            address: `n-${index}:1`,
+            processors: 1,
+            target: { id: `t-${index}`, service: "s", slots: load.slots, phase: TargetPhase.Ready, startedAt: 1, coldUntil: 0 },
+            crashes: [],
+        }));
+        this.directories = Array.from({ length: load.callerNodes }, (_, index) => {
+            const directory = new TargetDirectory({ clock, random, node: `c-${index}`, zone: "z" });
+            directory.setEntries(entries);
+            return directory;
+        });
+        this.queues = entries.map(() => {
+            const queue = new TargetQueue({ clock, random, linkBacklogMs: () => 0 });
+            queue.setTarget({ slots: load.slots, availability: TargetAvailability.Serving });
+            return queue;
+        });
+        const bound = { share: 0.2, allowance: 50, windowMs: 10_000 };
+        this.budgets = new RetryBudgets({ clock, bound, countNodes: () => 1 });
+    }
+
+    run(): PlayedResult {
+        const { durationMs, targets, slots, runMs, loadFactor, callerNodes } = this.load;
+        const perMs = loadFactor * targets * slots / runMs;
+        const arrive = (): void => {
+            const at = this.clock.now();
+            const caller = Math.floor(this.random.nextFraction() * callerNodes);
+            this.result.asked++;
+            this.startCall({ askedAt: at, attemptedAt: at, caller, mayReturn: true });
+            const nextAt = at - Math.log(1 - this.random.nextFraction()) / perMs;
+            if (nextAt < durationMs) {
+                this.schedule(nextAt, arrive);
+            }
+        };
+        this.schedule(0, arrive);
+        for (let next = this.events.shift(); next !== undefined; next = this.events.shift()) {
+            this.clock.advance(next.at - this.clock.now());
+            next.run();
+        }
+        const { busyMs, ...result } = this.result;
+        return { ...result, utilization: busyMs / (durationMs * targets * slots), refusalTimesMs: this.refusalTimesMs };
+    }
+
+    private schedule(at: Milliseconds, run: () => void): void {
+        let low = 0;
+        let high = this.events.length;
+        while (low < high) {
+            const middle = (low + high) >> 1;
+            if ((this.events[middle]?.at ?? 0) > at) {
+                high = middle;
+            }
+            else {
+                low = middle + 1;
+            }
+        }
+        this.events.splice(low, 0, { at, run });
+    }
+
+    private later(delayMs: Milliseconds, run: () => void): void {
+        this.schedule(this.clock.now() + delayMs, run);
+    }
+
+    private startCall(call: PlayedCall): void {
+        const { clock, budgets, latencies } = this;
+        const { route, deadlineMs } = this.load;
+        const directory = this.directories[call.caller] as TargetDirectory;
+        const plan = new CallPlan({ clock, directory, budgets, latencies, mayRepeat: () => true }, {
+            route,
+            service: "s",
+            priority: route.priority,
+            isInner: false,
+            isFromRepeat: false,
+            deadlineAt: call.askedAt + deadlineMs,
+        }, 1_000);
+        const carryOut = (actions: readonly PlanAction[]): void =>
+            actions.forEach(action => this.perform(action, call, plan, carryOut));
+        carryOut(plan.start());
+        this.schedule(call.askedAt + deadlineMs, () => carryOut(plan.handleDeadline()));
+    }
+
+    private perform(
+        action: PlanAction,
+        call: PlayedCall,
+        plan: CallPlan,
+        carryOut: (actions: readonly PlanAction[]) => void,
+    ): void {
+        switch (action.kind) {
+            case PlanActionKind.Offer:
+                return this.offer(action, call, plan, carryOut);
+            case PlanActionKind.Proceed:
+            case PlanActionKind.Withdraw:
+                // A withdrawn run still occupies its slot until the target notices; it is played to its end.
+                return;
+            case PlanActionKind.WakeAt:
+                return this.schedule(action.at, () => carryOut(plan.handleWakeUp()));
+            case PlanActionKind.Answer: {
+                const isInTime = this.clock.now() - call.askedAt <= this.load.route.latencyObjectiveMs;
+                this.result[isInTime ? "inTime" : "late"]++;
+                this.latencies.latenciesOf(this.load.route.name).record(this.clock.now() - call.attemptedAt);
+                return;
+            }
+            case PlanActionKind.Refuse:
+                return this.handleRefusal(call, action.retryAfterMs);
+            case PlanActionKind.Fail:
+                this.result.refused++;
+        }
+    }
+
+    private handleRefusal(call: PlayedCall, retryAfterMs: Milliseconds): void {
+        const now = this.clock.now();
+        this.refusalTimesMs.push(now - call.attemptedAt);
+        const leftMs = call.askedAt + this.load.deadlineMs - now;
+        if (!call.mayReturn || leftMs <= 0) {
+            this.result.refused++;
+            return;
+        }
+        const returnAt = now + Math.min(retryAfterMs, leftMs * maxReturnShare);
+        this.schedule(returnAt, () => this.startCall({ ...call, attemptedAt: returnAt, mayReturn: false }));
+    }
+
+    private offer(
+        { attempt, candidate, spareOnly }: Extract<PlanAction, { kind: PlanActionKind.Offer }>,
+        call: PlayedCall,
+        plan: CallPlan,
+        carryOut: (actions: readonly PlanAction[]) => void,
+    ): void {
+        this.result.offers++;
+        const key = `${this.result.offers}`;
+        const index = Number(candidate.node.slice("n-".length));
+        const queue = this.queues[index] as TargetQueue;
+        const directory = this.directories[call.caller] as TargetDirectory;
+        const { route, deadlineMs } = this.load;
+        directory.recordOffer(candidate.node, key);
+        const end = (answer: () => PlanAction[]): void => {
+            const load = queue.load(route.name, 0);
+            this.later(networkDelayMs, () => {
+                directory.recordEnd(candidate.node, key);
+                directory.recordLoad(candidate.node, load, route.name);
+                carryOut(answer());
+            });
+        };
+        this.granted.set(key, () => {
+            const uniform = Math.sqrt(-2 * Math.log(1 - this.random.nextFraction()));
+            const normal = uniform * Math.cos(2 * Math.PI * this.random.nextFraction());
+            const runMs = this.load.runMs * Math.exp(runTimeSigma * normal - runTimeSigma ** 2 / 2);
+            this.result.busyMs += Math.max(0, Math.min(runMs, this.load.durationMs - this.clock.now()));
+            this.later(networkDelayMs, () => carryOut(plan.handleGranted(attempt)));
+            this.later(runMs, () => {
+                end(() => plan.handleAttemptEnd(attempt, { kind: AttemptEndKind.Answered }));
+                this.apply(queue.finish(key, RunResult.Answered));
+            });
+        });
+        this.refusals.set(key, (reason, retryAfterMs) =>
+            end(() => plan.handleAttemptEnd(attempt, { kind: AttemptEndKind.Refused, reason, retryAfterMs })));
+        this.later(networkDelayMs, () => {
+            const decision = queue.offer({
+                callId: key,
+                route: route.name,
+                priority: route.priority,
+                isInner: false,
+                spareOnly,
+                objectiveAt: call.askedAt + route.latencyObjectiveMs,
+                deadlineAt: call.askedAt + deadlineMs,
+                transferMs: 0,
+            });
+            if (decision.kind === OfferDecisionKind.Queued) {
+                this.later(networkDelayMs, () => carryOut(plan.handleQueued(attempt)));
+                this.expireLater(queue);
+            }
+            else {
+                this.apply([decision]);
+            }
+        });
+    }
+
+    private readonly refusals = new Map<string, (
+        reason: Extract<QueueEvent, { kind: OfferDecisionKind.Refused }>["reason"],
+        retryAfterMs: Milliseconds,
+    ) => void>();
+
+    private apply(events: readonly QueueEvent[]): void {
+        for (const event of events) {
+            if (event.kind === OfferDecisionKind.Granted) {
+                this.granted.get(event.callId)?.();
+            }
+            else {
+                this.refusals.get(event.callId)?.(event.reason, event.retryAfterMs);
+            }
+        }
+    }
+
+    private expireLater(queue: TargetQueue): void {
+        this.later(expiryIntervalMs, () => {
+            this.apply(queue.expireQueued());
+            if (queue.queuedCalls > 0) {
+                this.expireLater(queue);
+            }
+        });
+    }
+}
+
+const expiryIntervalMs: Milliseconds = 20;
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -129,7 +129,9 @@
             latencies: this.latencies,
             mayRepeat: () => options.quarantine.check(call.offer.fingerprint).kind !== QuarantineDecisionKind.Held,
         };
-        const planned = { route, service, isFromRepeat: call.parent?.isRepeat === true, deadlineAt: call.deadlineAt };
+        const { priority, isInner } = call.offer;
+        const isFromRepeat = call.parent?.isRepeat === true;
+        const planned = { route, service, priority, isInner, isFromRepeat, deadlineAt: call.deadlineAt };
         const plan = new CallPlan(services, planned, this.responseSizes.meanBytes(route.name));
         const end = await new CallerCall(call, plan, options).run();
         this.recordEnd(call, service, end);
