--- a/coordination/forwarding/src/callPlan.ts
+++ b/coordination/forwarding/src/callPlan.ts
@@ -121,6 +121,7 @@
 interface AttemptState {
     phase: AttemptPhase;
     readonly node: string;
+    /** The offer is refused instead of queued if no slot is free. */
     readonly spareOnly: boolean;
     /** The retry budget was charged, so the attempt may run beside or after another one. */
     readonly isBudgeted: boolean;
--- a/coordination/forwarding/src/targetQueue.ts
+++ b/coordination/forwarding/src/targetQueue.ts
@@ -153,7 +153,7 @@
             return [];
         }
         this.running.delete(callId);
-        // A target that is full or was not reached by a cancelled call has not failed.
+        // Neither a full target nor a cancelled call is a failure of the target.
         if (result !== RunResult.Cancelled && result !== RunResult.Shed) {
             const failed = result === RunResult.Answered ? 0 : 1;
             this.failureShare += failureEwmaWeight * (failed - this.failureShare);
--- a/coordination/forwarding/test/loadPlay.ts
+++ b/coordination/forwarding/test/loadPlay.ts
@@ -56,9 +56,14 @@
     readonly mayReturn: boolean;
 }
 
+type QueueRefusal = Extract<QueueEvent, { kind: OfferDecisionKind.Refused }>;
+
 const networkDelayMs: Milliseconds = 1;
+/** Interval at which the target's node refuses queued calls that have become late. */
+const expiryIntervalMs: Milliseconds = 20;
 /** Spread of the run times: the standard deviation of their logarithm. */
 const runTimeSigma = 0.4;
+/** Callers honour `Retry-After` up to this share of their remaining time. */
 const maxReturnShare = 1 / 3;
 
 export class LoadPlay {
@@ -69,7 +74,10 @@
     private readonly budgets: RetryBudgets;
     private readonly latencies = new RouteLatencyTable();
     private readonly events: { readonly at: Milliseconds; readonly run: () => void }[] = [];
-    private readonly granted = new Map<string, () => void>();
+    /** Starts the run of a call that its target's queue grants, by the key of the offer. */
+    private readonly grants = new Map<string, () => void>();
+    /** Returns a refusal to the caller's node, by the key of the offer. */
+    private readonly refusals = new Map<string, (refusal: QueueRefusal) => void>();
     private readonly result = { asked: 0, inTime: 0, late: 0, refused: 0, offers: 0, busyMs: 0 };
     private readonly refusalTimesMs: Milliseconds[] = [];
 
@@ -218,7 +226,7 @@
                 carryOut(answer());
             });
         };
-        this.granted.set(key, () => {
+        this.grants.set(key, () => {
             const uniform = Math.sqrt(-2 * Math.log(1 - this.random.nextFraction()));
             const normal = uniform * Math.cos(2 * Math.PI * this.random.nextFraction());
             const runMs = this.load.runMs * Math.exp(runTimeSigma * normal - runTimeSigma ** 2 / 2);
@@ -229,7 +237,7 @@
                 this.apply(queue.finish(key, RunResult.Answered));
             });
         });
-        this.refusals.set(key, (reason, retryAfterMs) =>
+        this.refusals.set(key, ({ reason, retryAfterMs }) =>
             end(() => plan.handleAttemptEnd(attempt, { kind: AttemptEndKind.Refused, reason, retryAfterMs })));
         this.later(networkDelayMs, () => {
             const decision = queue.offer({
@@ -252,18 +260,13 @@
         });
     }
 
-    private readonly refusals = new Map<string, (
-        reason: Extract<QueueEvent, { kind: OfferDecisionKind.Refused }>["reason"],
-        retryAfterMs: Milliseconds,
-    ) => void>();
-
     private apply(events: readonly QueueEvent[]): void {
         for (const event of events) {
             if (event.kind === OfferDecisionKind.Granted) {
-                this.granted.get(event.callId)?.();
+                this.grants.get(event.callId)?.();
             }
             else {
-                this.refusals.get(event.callId)?.(event.reason, event.retryAfterMs);
+                this.refusals.get(event.callId)?.(event);
             }
         }
     }
@@ -277,5 +280,3 @@
         });
     }
 }
-
-const expiryIntervalMs: Milliseconds = 20;
