--- a/daemons/sidecar/src/metrics.ts
+++ b/daemons/sidecar/src/metrics.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from "@bilberrycroft/core.clock";
-import type { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
+import { CallOutcome, type CallReason } from "@bilberrycroft/protocol.calls";
 import { LatencyHistogram } from "@bilberrycroft/state.histograms";
 
 /** A call that has ended, as seen by the caller's node. */
@@ -37,6 +37,12 @@
         this.outcomes.set(key, (this.outcomes.get(key) ?? 0) + 1);
     }
 
+    /** Counts a call that was refused before a service was chosen for it. */
+    recordRefusal(reason: CallReason): void {
+        const key = `service="",outcome="${CallOutcome.NotRun}",reason="${reason}"`;
+        this.outcomes.set(key, (this.outcomes.get(key) ?? 0) + 1);
+    }
+
     /** Renders all metrics and the given gauges in the Prometheus text format. */
     render(gauges: readonly Gauge[]): string {
         const lines = [
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -79,13 +79,14 @@
         response: ServerResponse,
         startedAt: Milliseconds,
     ): Promise<void> {
-        const { codec, log } = this.options;
+        const { codec, log, metrics } = this.options;
         const { table } = this;
         const head = codec.readCallerHead(request.headers);
         const refuse = (reason: CallReason, status?: number): void => {
             request.resume();
             const { host } = request.headers;
             log.info("call-refused", { call: head?.callId, host, path: request.url, version: table?.version, reason });
+            metrics.recordRefusal(reason);
             const retryAfterMs = reason === CallReason.NoConfiguration ? noConfigurationRetryAfterMs : undefined;
             sendLocalResponse(response, codec, { callId: head?.callId, reason, retryAfterMs, status });
         };
@@ -122,6 +123,7 @@
             const { retryAfterMs } = decision;
             options.log.warn("call-quarantined", { call: head.callId, route: route.name, retryAfterMs });
             const reason = CallReason.Quarantined;
+            options.metrics.recordRefusal(reason);
             sendLocalResponse(response, options.codec, { callId: head.callId, reason, retryAfterMs });
             return;
         }
