--- a/coordination/forwarding/src/callPlan.ts
+++ b/coordination/forwarding/src/callPlan.ts
@@ -7,91 +7,18 @@
  * reported that it did not run the call, and each further attempt is charged to the retry budget.
  */
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
-import { RouteLatencies } from "@bilberrycroft/coordination.retries";
 import { CallReason } from "@bilberrycroft/protocol.calls";
-import type { Route } from "@bilberrycroft/state.routes";
-import { evictOldestIfFull } from "./boundedMap";
+import {
+    type AttemptEnd,
+    AttemptEndKind,
+    type PlanAction,
+    PlanActionKind,
+    type PlannedCall,
+} from "./callPlanTypes";
 import type { RetryBudgets } from "./retryBudgets";
+import type { RouteLatencyTable } from "./routeLatencyTable";
 import type { TargetCandidate, TargetDirectory } from "./targetDirectory";
 
-/** A call that a node forwards for its caller. */
-export interface PlannedCall {
-    readonly route: Route;
-    readonly service: string;
-    /** Priority of the call; that of its outer call for an inner call. 0 is the highest. */
-    readonly priority: number;
-    /** The call was made by a target while it ran another call. */
-    readonly isInner: boolean;
-    /** The call was made by a target during a repeated run of another call. */
-    readonly isFromRepeat: boolean;
-    readonly deadlineAt: Milliseconds;
-}
-
-export enum PlanActionKind {
-    /** Offer the call to a target. */
-    Offer = "offer",
-    /** Send the request body; from now on the target may run the call. */
-    Proceed = "proceed",
-    /** Withdraw an attempt, or cancel it if it is running. */
-    Withdraw = "withdraw",
-    /** Wake the plan at the given time so that it can start a hedged attempt. */
-    WakeAt = "wake-at",
-    /** Send the response of this attempt to the caller. */
-    Answer = "answer",
-    /** Report to the caller that the call did not run. */
-    Refuse = "refuse",
-    /** Report to the caller that the call may have run. */
-    Fail = "fail",
-}
-
-/** Next step for the task that carries out the call. */
-export type PlanAction =
-    | {
-        readonly kind: PlanActionKind.Offer;
-        readonly attempt: number;
-        readonly candidate: TargetCandidate;
-        /** The target grants the offer only if a slot is free now; it does not queue it. */
-        readonly spareOnly: boolean;
-        /** Another target may have run the call or may still be running it. */
-        readonly isRepeat: boolean;
-    }
-    | { readonly kind: PlanActionKind.Proceed; readonly attempt: number }
-    | { readonly kind: PlanActionKind.Withdraw; readonly attempt: number }
-    | { readonly kind: PlanActionKind.WakeAt; readonly at: Milliseconds }
-    | { readonly kind: PlanActionKind.Answer; readonly attempt: number }
-    | { readonly kind: PlanActionKind.Refuse; readonly reason: CallReason; readonly retryAfterMs: Milliseconds }
-    | { readonly kind: PlanActionKind.Fail; readonly reason: CallReason };
-
-export enum AttemptEndKind {
-    /** The target's node refused the offer. */
-    Refused = "refused",
-    /** The node did not respond, or the connection broke before the grant. */
-    Unreachable = "unreachable",
-    /** The target reported that it did not run the call. */
-    NotRun = "not-run",
-    /** A complete response arrived. */
-    Answered = "answered",
-    /** A complete response arrived that reports a failure of the target. */
-    Failed = "failed",
-    /** The call may have run, but no usable response arrived. */
-    Lost = "lost",
-}
-
-export type AttemptEnd =
-    | {
-        readonly kind: AttemptEndKind.Refused | AttemptEndKind.NotRun;
-        readonly reason: CallReason;
-        readonly retryAfterMs: Milliseconds;
-    }
-    | { readonly kind: AttemptEndKind.Unreachable }
-    | { readonly kind: AttemptEndKind.Answered }
-    | { readonly kind: AttemptEndKind.Failed }
-    | {
-        readonly kind: AttemptEndKind.Lost;
-        /** `TimedOut` if the target's node observed the deadline of the call first. */
-        readonly reason: CallReason;
-    };
-
 type Refusal = Extract<AttemptEnd, { kind: AttemptEndKind.Refused | AttemptEndKind.NotRun }>;
 
 /** Dependencies that all plans of a node share. */
@@ -127,25 +54,6 @@
     readonly isBudgeted: boolean;
 }
 
-/** Recent latencies by route. */
-export class RouteLatencyTable {
-    private readonly routes = new Map<string, RouteLatencies>();
-
-    latenciesOf(route: string): RouteLatencies {
-        const existing = this.routes.get(route);
-        if (existing !== undefined) {
-            return existing;
-        }
-        evictOldestIfFull(this.routes, route, maxRoutes);
-        const created = new RouteLatencies();
-        this.routes.set(route, created);
-        return created;
-    }
-}
-
-/** Bounds memory use when routes are added and removed. */
-const maxRoutes = 512;
-
 /** Each method handles one event and returns the actions to carry out. */
 export class CallPlan {
     private readonly attempts = new Map<number, AttemptState>();
