Log and count the limit that a target names and the calls that it gets

The logs could not tell the first two hypotheses apart: no event named a limit, and answered calls are sampled, so that the rate at which a target gets calls was not on record. Now target-limit shows each change of the limit, target-limited once a second the calls sent so far, and two gauges show both. No decision changes.

--- a/daemons/sidecar/src/calls/targetCall.ts
+++ b/daemons/sidecar/src/calls/targetCall.ts
@@ -9,7 +9,7 @@
 import type { NodeReport } from "@bilberrycroft/protocol.forwarding";
 import { type Attempt, type AttemptEvent, AttemptEventKind, type TargetClient } from "@bilberrycroft/transport.calls";
 import { copyHeaders, type IncomingOffer } from "@bilberrycroft/transport.forwarding";
-import type { CallHeaderCodec } from "../ports";
+import type { CallHeaderCodec, TargetResponseHead } from "../ports";
 
 /** Dependencies shared by all calls to the target. */
 export interface TargetServices {
@@ -21,7 +21,10 @@
     readonly targetAddress: string;
     /** Returns the report that is sent with each response. */
     createReport(route: string): NodeReport;
-    recordTargetResponse(): void;
+    /** Called with the head of each response that the target of this call sent for it. */
+    recordTargetResponse(head: TargetResponseHead): void;
+    /** Called when a call is sent to the target. */
+    recordSend(): void;
     /** Called if the target's address refuses the connection, which means that no process listens there. */
     handleConnectionRefused(): void;
     /** Called if a connection to the target breaks with a call in flight. */
@@ -75,6 +78,7 @@
         if (offer.bodyBytes !== undefined) {
             headers["content-length"] = String(body.length);
         }
+        this.services.recordSend();
         this.attempt = client.send({
             address: targetAddress,
             method,
@@ -142,7 +146,7 @@
         const { services } = this;
         const { offer } = this.call.incoming.message;
         const head = services.codec.readTargetResponse(event.status, event.headers);
-        services.recordTargetResponse();
+        services.recordTargetResponse(head);
         this.hasResponded = true;
         if (this.call.incoming.isWithdrawn) {
             event.response.destroy();
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -175,6 +175,8 @@
             { name: "nodes_known", help: "Nodes in the table.", read: () => this.directory.size },
             { name: "calls_in_progress", help: "Calls of callers in progress.", read: () => this.callerTask.inProgress },
             { name: "target_calls", help: "Calls in the target or waiting for it.", read: () => this.targetTask.inProgress },
+            { name: "target_calls_sent", help: "Calls sent to the target since the start.", read: () => this.targetTask.sentCalls },
+            { name: "target_request_limit", help: "Calls per second that the target accepts; 0 without a limit.", read: () => this.targetTask.requestLimit },
             { name: "log_lines_dropped", help: "Log lines dropped.", read: () => this.options.log.dropped },
         ]);
     }
--- a/daemons/sidecar/src/tasks/targetTask.ts
+++ b/daemons/sidecar/src/tasks/targetTask.ts
@@ -25,7 +25,7 @@
 import { probeListener, type TargetClient } from "@bilberrycroft/transport.calls";
 import type { ResponsePacer, IncomingOffer } from "@bilberrycroft/transport.forwarding";
 import { type BrokenConnection, TargetCall, type TargetServices } from "../calls/targetCall";
-import type { CallHeaderCodec } from "../ports";
+import type { CallHeaderCodec, TargetResponseHead } from "../ports";
 
 export interface TargetTaskOptions {
     readonly clock: Clock;
@@ -78,6 +78,9 @@
     private isStopping = false;
     private brokenConnections: TimedBrokenConnection[] = [];
     private lastTargetState = "";
+    private callsSent = 0;
+    private callsPerSecond: number | undefined;
+    private isTargetLeaving = false;
 
     constructor(private readonly options: TargetTaskOptions) {
         const { clock, client, codec, log, targetAddress, target } = options;
@@ -88,7 +91,10 @@
             log,
             targetAddress,
             createReport: route => this.createReport(route),
-            recordTargetResponse: () => target.recordResponse(),
+            recordTargetResponse: head => this.handleTargetResponse(head),
+            recordSend: () => {
+                this.callsSent++;
+            },
             handleConnectionRefused: () => {
                 target.recordConnectionRefused();
                 this.updateAvailability();
@@ -111,6 +117,16 @@
         return this.options.queue.runningCalls + this.options.queue.queuedCalls + this.responsesInFlight;
     }
 
+    /** Number of calls sent to the target since the start. */
+    get sentCalls(): number {
+        return this.callsSent;
+    }
+
+    /** Limit that the target names, in calls per second; 0 if it names none. */
+    get requestLimit(): number {
+        return this.callsPerSecond ?? 0;
+    }
+
     /** Refuses new offers, because the node is stopping. */
     startDraining(): void {
         this.isStopping = true;
@@ -301,6 +317,24 @@
         incoming.refuse({ reason, retryAfterMs: Math.ceil(retryAfterMs), report });
     }
 
+    private handleTargetResponse({ callsPerSecond, isLeaving }: TargetResponseHead): void {
+        const { target, queue, log } = this.options;
+        target.recordResponse();
+        const { runningCalls: running, queuedCalls: queued } = queue;
+        const load = { target: target.announced?.id, sent: this.callsSent, running, queued };
+        if (callsPerSecond !== this.callsPerSecond) {
+            log.info("target-limit", { ...load, callsPerSecond, previous: this.callsPerSecond });
+            this.callsPerSecond = callsPerSecond;
+        }
+        else if (callsPerSecond !== undefined) {
+            log.sample("target-limited", { ...load, callsPerSecond });
+        }
+        if (isLeaving && !this.isTargetLeaving) {
+            log.info("target-leaving", load);
+        }
+        this.isTargetLeaving = isLeaving;
+    }
+
     private handleBrokenConnection(connection: BrokenConnection): void {
         this.brokenConnections.push({ ...connection, at: this.options.clock.wallTime() });
         if (this.brokenConnections.length === 1) {
