Keep the limit that a target names in its responses

Cause: nothing read the limit. Selection and admission knew slots, load and run times only, so a target in trouble that still answers quickly got as many calls as before. Ruled out by the log lines added before: that each node keeps the limit for itself; the node beside the target, which sends all calls, saw the limit within 2 ms and went on at 112 calls a second instead of 54.6.

Change: the target's queue grants calls from a token bucket at the named rate; what waits for it is granted in the usual order, and what cannot be in time is refused at once with the time at which the limit allows it. Load reports carry the limit, so that callers' nodes count such a target as having fewer slots. A node that restarts beside its running target would start without the limit, so offers carry what callers' nodes know; a report of a node that has heard nothing yet does not replace it.

--- a/coordination/forwarding/src/index.ts
+++ b/coordination/forwarding/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./callPlanTypes";
 export * from "./routeLatencyTable";
 export * from "./peerRecord";
+export * from "./requestLimit";
 export * from "./responseTimes";
 export * from "./retryBudgets";
 export * from "./runTimes";
--- a/coordination/forwarding/src/peerRecord.ts
+++ b/coordination/forwarding/src/peerRecord.ts
@@ -2,7 +2,7 @@
  * Observations that the caller's node made of another node and its target.
  */
 import type { Milliseconds } from "@bilberrycroft/core.clock";
-import { type NodeEntry, TargetAvailability, type TargetLoad } from "@bilberrycroft/protocol.forwarding";
+import { type NodeEntry, TargetAvailability, TargetLimitKind, type TargetLoad } from "@bilberrycroft/protocol.forwarding";
 import { evictOldestIfFull } from "./boundedMap";
 import { ResponseTimes } from "./responseTimes";
 import type { RankedTarget } from "./targetSubset";
@@ -58,6 +58,7 @@
     readonly responseTimes = new ResponseTimes();
     private latestLoad: LoadObservation | undefined;
     private overload: Overload | undefined;
+    private knownCallsPerSecond: number | undefined;
     private nextProbeAt: Milliseconds | undefined;
     private probeDelayMs = initialProbeDelayMs;
 
@@ -80,6 +81,7 @@
             this.runTimes.clear();
             this.latestLoad = undefined;
             this.overload = undefined;
+            this.knownCallsPerSecond = undefined;
             this.markHealthy();
         }
     }
@@ -124,6 +126,9 @@
             evictOldestIfFull(this.runTimes, route, maxRoutes);
             this.runTimes.set(route, { runTimeMs: load.runTimeMs, sendMs: load.sendMs, at: now });
         }
+        if (load.limit?.kind !== TargetLimitKind.Unknown) {
+            this.knownCallsPerSecond = load.limit?.callsPerSecond;
+        }
         if (load.availability === TargetAvailability.Serving) {
             this.markHealthy();
         }
@@ -163,6 +168,11 @@
         return this.localCallIds.size + otherCalls * Math.exp(-(now - at) / loadDecayMs);
     }
 
+    /** Limit that the target last named, in calls per second; `undefined` if it named none. */
+    get callsPerSecond(): number | undefined {
+        return this.knownCallsPerSecond;
+    }
+
     /** Mean run time over all routes; `undefined` before the first load report. */
     get meanRunTimeMs(): Milliseconds | undefined {
         return this.latestLoad?.load.meanRunTimeMs;
--- a/coordination/forwarding/src/targetDirectory.ts
+++ b/coordination/forwarding/src/targetDirectory.ts
@@ -60,6 +60,9 @@
 const failureCostShare = 1.5;
 /** A node must respond within this share of the remaining time, so that another node can still run the call. */
 const maxResponseTimeoutShare = 0.4;
+const millisecondsPerSecond = 1_000;
+/** Keeps the cost of a target finite that accepts hardly any calls. */
+const minUsableSlots = 0.01;
 /** Random share of a cost, so that nodes with the same observations choose different targets. */
 const jitterShare = 0.1;
 
@@ -128,6 +131,11 @@
         return wasHealthy;
     }
 
+    /** Limit that the node's target last named, in calls per second; `undefined` if it named none. */
+    callsPerSecondOf(node: string): number | undefined {
+        return this.records.get(node)?.callsPerSecond;
+    }
+
     /** Whether the node responds and its target serves, according to the latest observation. */
     isHealthy(node: string): boolean {
         return this.records.get(node)?.isHealthy === true;
@@ -214,10 +222,11 @@
     ): Milliseconds {
         const { latencyObjectiveMs } = request.route;
         const { target } = record.entry;
-        const slots = Math.max(1, target?.slots ?? 1);
+        const meanRunTimeMs = record.meanRunTimeMs ?? typicalMs;
+        const slots = usableSlots(Math.max(1, target?.slots ?? 1), meanRunTimeMs, record.callsPerSecond);
         const occupancy = record.occupancy(now);
         const fullness = Math.min(1, occupancy / slots);
-        const waitMs = Math.max(0, occupancy + 1 - slots) * (record.meanRunTimeMs ?? typicalMs) / slots;
+        const waitMs = Math.max(0, occupancy + 1 - slots) * meanRunTimeMs / slots;
         const runTimeFactor = this.isCold(target?.coldUntil ?? 0) ? coldFactor : 1;
         const runMs = record.runTimeMs(request.route.name, typicalMs * runTimeFactor, now)
             * (1 + fullTargetSlowdown * fullness);
@@ -259,6 +268,13 @@
     }
 }
 
+/** Number of slots, possibly fractional, that a target with a limit of its calls can keep busy. */
+function usableSlots(slots: number, meanRunTimeMs: Milliseconds, callsPerSecond: number | undefined): number {
+    return callsPerSecond === undefined
+        ? slots
+        : Math.min(slots, Math.max(minUsableSlots, callsPerSecond * meanRunTimeMs / millisecondsPerSecond));
+}
+
 /** Mean of the last observed run times of the route. */
 function typicalRunTimeMs(records: readonly PeerRecord[], route: string): Milliseconds {
     let sum = 0;
--- a/coordination/forwarding/src/targetQueue.ts
+++ b/coordination/forwarding/src/targetQueue.ts
@@ -2,13 +2,15 @@
  * Admission control and priority queue at the target's node.
  *
  * All calls to the target pass through this node, so only this node knows what runs there. It grants at most as many
- * calls as the target has slots. Inner calls (made by a target while it runs another call) go first, because their
- * outer call occupies a slot elsewhere while it waits. Calls that cannot finish in time are refused immediately.
+ * calls as the target has slots, and no more than the limit that the target names allows. Inner calls (made by a target
+ * while it runs another call) go first, because their outer call occupies a slot elsewhere while it waits. Calls that
+ * cannot finish in time are refused immediately.
  */
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import type { Random } from "@bilberrycroft/core.random";
 import { CallReason } from "@bilberrycroft/protocol.calls";
 import { TargetAvailability, type TargetLoad } from "@bilberrycroft/protocol.forwarding";
+import { RequestLimit } from "./requestLimit";
 import { RunTimeEstimates } from "./runTimes";
 
 /** A call offered by another node. */
@@ -104,8 +106,12 @@
     private slots = 0;
     private availability = TargetAvailability.Down;
     private failureShare = 0;
+    /** Limit that the target names. */
+    readonly limit: RequestLimit;
 
-    constructor(private readonly options: TargetQueueOptions) {}
+    constructor(private readonly options: TargetQueueOptions) {
+        this.limit = new RequestLimit(options.clock);
+    }
 
     /** Updates the target's slots and availability; returns the queued calls that are now granted or refused. */
     setTarget(target: { readonly slots: number; readonly availability: TargetAvailability }): QueueEvent[] {
@@ -131,7 +137,7 @@
         if (sendAfterRunMs > 0 && now + this.expectedRunMs(call) + sendAfterRunMs > call.deadlineAt) {
             return this.refuse(call, CallReason.Overloaded);
         }
-        if (this.running.size < this.slots && this.queue.length === 0) {
+        if (this.queue.length === 0 && this.mayStart()) {
             return this.grant(call);
         }
         if (call.spareOnly || this.queue.length >= maxQueuedCalls) {
@@ -169,8 +175,12 @@
         this.queue = this.queue.filter(({ call }) => call.callId !== callId);
     }
 
-    /** Refuses the queued calls that can no longer finish in time. */
-    expireQueued(): QueueEvent[] {
+    /** Refuses the queued calls that can no longer finish in time, and grants those that the limit allows by now. */
+    advance(): QueueEvent[] {
+        return this.startNext();
+    }
+
+    private expireQueued(): QueueEvent[] {
         const now = this.options.clock.now();
         const expired = this.queue.filter(({ refuseAt }) => now >= refuseAt);
         if (expired.length === 0) {
@@ -201,6 +211,7 @@
             sendMs: this.expectedSendMs(transferMs, this.runTimes.expectedMs(route)),
             meanRunTimeMs: this.runTimes.meanMs,
             failureShare: this.failureShare,
+            limit: this.limit.current,
         };
     }
 
@@ -212,13 +223,18 @@
 
     private startNext(): QueueEvent[] {
         const events = this.expireQueued();
-        while (this.running.size < this.slots && this.queue.length > 0) {
+        while (this.queue.length > 0 && this.mayStart()) {
             const next = this.dequeueNext();
             events.push(this.grant(next));
         }
         return events;
     }
 
+    /** Whether one more call may start now; takes it from the limit. */
+    private mayStart(): boolean {
+        return this.running.size < this.slots && this.limit.tryTake();
+    }
+
     private dequeueNext(): OfferedCall {
         const now = this.options.clock.now();
         let best = 0;
@@ -280,11 +296,16 @@
         return Math.max(0, backlogMs - untilRunEndMs) + transferMs;
     }
 
-    /** Expected time until a slot is free for the call, after the queued calls with precedence. */
+    /** Expected time until a slot is free for the call and the limit allows it, after the calls with precedence. */
     private expectedWaitMs(call: OfferedCall): Milliseconds {
         const ahead = this.queue.filter(({ call: other }) =>
             other.isInner || (!call.isInner && other.priority <= call.priority));
-        return (ahead.length + 1) * this.runTimes.meanMs / Math.max(1, this.slots);
+        return this.startDelayMs(ahead.length + 1);
+    }
+
+    /** Expected time until the given number of queued calls have started. */
+    private startDelayMs(calls: number): Milliseconds {
+        return Math.max(calls * this.runTimes.meanMs / Math.max(1, this.slots), this.limit.delayMs(calls));
     }
 
     private unavailableReason(): CallReason {
@@ -293,8 +314,7 @@
 
     /** Retry delays are spread over a factor of two, so that refused callers do not retry at the same time. */
     private refuse(call: OfferedCall, reason: CallReason): OfferRefusal {
-        const drainMs = (this.queue.length + 1) * this.runTimes.meanMs / Math.max(1, this.slots);
-        const bounded = Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, drainMs));
+        const bounded = Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, this.startDelayMs(this.queue.length + 1)));
         const retryAfterMs = Math.ceil(bounded * (1 + this.options.random.nextFraction()));
         return { kind: OfferDecisionKind.Refused, callId: call.callId, reason, retryAfterMs };
     }
--- a/coordination/forwarding/test/loadPlay.ts
+++ b/coordination/forwarding/test/loadPlay.ts
@@ -34,6 +34,8 @@
     readonly deadlineMs: Milliseconds;
     /** Whether the objective of a call that returns counts from its caller's first attempt, as `CallerAges` tells. */
     readonly tracksAges: boolean;
+    /** Limits that the targets name in their responses from the start, in calls per second, by index. */
+    readonly limits?: readonly (number | undefined)[];
 }
 
 /** What the callers got. */
@@ -47,6 +49,8 @@
     readonly utilization: number;
     /** Times from a caller's attempt to its refusal. */
     readonly refusalTimesMs: readonly Milliseconds[];
+    /** Times at which calls reached each target. */
+    readonly arrivals: readonly (readonly Milliseconds[])[];
 }
 
 interface PlayedCall {
@@ -80,6 +84,7 @@
     private readonly refusals = new Map<string, (refusal: QueueRefusal) => void>();
     private readonly result = { asked: 0, inTime: 0, late: 0, refused: 0, offers: 0, busyMs: 0 };
     private readonly refusalTimesMs: Milliseconds[] = [];
+    private readonly arrivals: Milliseconds[][];
 
     constructor(private readonly load: PlayedLoad) {
         this.random = createSeededRandom(load.seed);
@@ -97,6 +102,7 @@
             directory.setEntries(entries);
             return directory;
         });
+        this.arrivals = entries.map(() => []);
         this.queues = entries.map(() => {
             const queue = new TargetQueue({ clock, random, linkBacklogMs: () => 0 });
             queue.setTarget({ slots: load.slots, availability: TargetAvailability.Serving });
@@ -125,7 +131,8 @@
             next.run();
         }
         const { busyMs, ...result } = this.result;
-        return { ...result, utilization: busyMs / (durationMs * targets * slots), refusalTimesMs: this.refusalTimesMs };
+        const utilization = busyMs / (durationMs * targets * slots);
+        return { ...result, utilization, refusalTimesMs: this.refusalTimesMs, arrivals: this.arrivals };
     }
 
     private schedule(at: Milliseconds, run: () => void): void {
@@ -227,12 +234,14 @@
             });
         };
         this.grants.set(key, () => {
+            this.arrivals[index]?.push(this.clock.now());
             const uniform = Math.sqrt(-2 * Math.log(1 - this.random.nextFraction()));
             const normal = uniform * Math.cos(2 * Math.PI * this.random.nextFraction());
             const runMs = this.load.runMs * Math.exp(runTimeSigma * normal - runTimeSigma ** 2 / 2);
             this.result.busyMs += Math.max(0, Math.min(runMs, this.load.durationMs - this.clock.now()));
             this.later(networkDelayMs, () => carryOut(plan.handleGranted(attempt)));
             this.later(runMs, () => {
+                queue.limit.handleResponse(this.load.limits?.[index]);
                 end(() => plan.handleAttemptEnd(attempt, { kind: AttemptEndKind.Answered }));
                 this.apply(queue.finish(key, RunResult.Answered));
             });
@@ -273,7 +282,7 @@
 
     private expireLater(queue: TargetQueue): void {
         this.later(expiryIntervalMs, () => {
-            this.apply(queue.expireQueued());
+            this.apply(queue.advance());
             if (queue.queuedCalls > 0) {
                 this.expireLater(queue);
             }
--- a/coordination/forwarding/test/targetDirectory.test.ts
+++ b/coordination/forwarding/test/targetDirectory.test.ts
@@ -1,7 +1,13 @@
 import { ManualClock } from "@bilberrycroft/core.clock";
 import { createSeededRandom } from "@bilberrycroft/core.random";
 import { type CandidateRequest, TargetDirectory } from "@bilberrycroft/coordination.forwarding";
-import { type NodeEntry, TargetAvailability, type TargetLoad, TargetPhase } from "@bilberrycroft/protocol.forwarding";
+import {
+    type NodeEntry,
+    TargetAvailability,
+    TargetLimitKind,
+    type TargetLoad,
+    TargetPhase,
+} from "@bilberrycroft/protocol.forwarding";
 import { beforeEach, describe, expect, it } from "vitest";
 import { repeatableRoute as route } from "./fixtures";
 
@@ -61,6 +67,25 @@
         });
     });
 
+    describe("limits of targets", () => {
+        const limited = (callsPerSecond: number): Partial<TargetLoad> =>
+            ({ limit: { kind: TargetLimitKind.Limited, callsPerSecond } });
+
+        it("count the calls that wait for a limited target, although its slots are free", () => {
+            directory.recordLoad("a", createLoad({ running: 1, queued: 1, ...limited(5) }), "r");
+            directory.recordLoad("b", createLoad({ running: 2 }), "r");
+            expect(chooseMany()).toEqual(new Set(["b"]));
+        });
+
+        it("are kept while the node beside the target does not know them after its restart", () => {
+            directory.recordLoad("a", createLoad(limited(5)));
+            directory.recordLoad("a", createLoad({ limit: { kind: TargetLimitKind.Unknown } }));
+            expect(directory.callsPerSecondOf("a")).toBe(5);
+            directory.recordLoad("a", createLoad());
+            expect(directory.callsPerSecondOf("a")).toBeUndefined();
+        });
+    });
+
     describe("observations", () => {
         it("avoids a slow target and tries it again as the observation ages", () => {
             directory.recordLoad("a", createLoad({ runTimeMs: 400 }), "r");
--- a/coordination/forwarding/test/targetQueue.test.ts
+++ b/coordination/forwarding/test/targetQueue.test.ts
@@ -85,7 +85,7 @@
                                 break;
                             case 4:
                                 manual.advance(pick % 400);
-                                tested.expireQueued();
+                                tested.advance();
                                 break;
                             default:
                                 tested.setTarget(pick % 4 === 0 ? leaving : serving);
@@ -159,7 +159,7 @@
             const running = fill();
             const waiting = offer();
             clock.advance(600);
-            expect(queue.expireQueued()).toMatchObject([{ kind: OfferDecisionKind.Refused, callId: waiting }]);
+            expect(queue.advance()).toMatchObject([{ kind: OfferDecisionKind.Refused, callId: waiting }]);
             expect(queue.finish(running[0], RunResult.Answered)).toEqual([]);
         });
 
--- a/daemons/sidecar/src/calls/callerCall.ts
+++ b/daemons/sidecar/src/calls/callerCall.ts
@@ -174,6 +174,7 @@
                     spareOnly,
                     isRepeat,
                     bodyBytes: call.hasBody ? call.body.length : undefined,
+                    targetCallsPerSecond: services.directory.callsPerSecondOf(candidate.node),
                 },
                 method: call.request.method ?? "GET",
                 path: call.request.url ?? "/",
--- a/daemons/sidecar/src/calls/targetCall.ts
+++ b/daemons/sidecar/src/calls/targetCall.ts
@@ -21,8 +21,10 @@
     readonly targetAddress: string;
     /** Returns the report that is sent with each response. */
     createReport(route: string): NodeReport;
-    /** Called with the head of each response that the target of this call sent for it. */
-    recordTargetResponse(head: TargetResponseHead): void;
+    /** Called for each response of the target, also for one that is not to its call. */
+    recordTargetResponse(): void;
+    /** Called with the head of each response that the target has sent for its call. */
+    handleTargetHead(head: TargetResponseHead): void;
     /** Called when a call is sent to the target. */
     recordSend(): void;
     /** Called if the target's address refuses the connection, which means that no process listens there. */
@@ -146,7 +148,7 @@
         const { services } = this;
         const { offer } = this.call.incoming.message;
         const head = services.codec.readTargetResponse(event.status, event.headers);
-        services.recordTargetResponse(head);
+        services.recordTargetResponse();
         this.hasResponded = true;
         if (this.call.incoming.isWithdrawn) {
             event.response.destroy();
@@ -159,6 +161,9 @@
             this.reportLoss(CallReason.AnswerLost);
             return RunResult.Broken;
         }
+        if (head.isFromTarget) {
+            services.handleTargetHead(head);
+        }
         if (head.isNotRun) {
             event.response.resume();
             this.log("target-refused", String(event.status));
--- a/daemons/sidecar/src/tasks/targetTask.ts
+++ b/daemons/sidecar/src/tasks/targetTask.ts
@@ -79,7 +79,8 @@
     private brokenConnections: TimedBrokenConnection[] = [];
     private lastTargetState = "";
     private callsSent = 0;
-    private callsPerSecond: number | undefined;
+    private lastIncarnation = "";
+    private lastCallsPerSecond: number | undefined;
     private isTargetLeaving = false;
 
     constructor(private readonly options: TargetTaskOptions) {
@@ -91,7 +92,8 @@
             log,
             targetAddress,
             createReport: route => this.createReport(route),
-            recordTargetResponse: head => this.handleTargetResponse(head),
+            recordTargetResponse: () => target.recordResponse(),
+            handleTargetHead: head => this.handleTargetHead(head),
             recordSend: () => {
                 this.callsSent++;
             },
@@ -124,7 +126,7 @@
 
     /** Limit that the target names, in calls per second; 0 if it names none. */
     get requestLimit(): number {
-        return this.callsPerSecond ?? 0;
+        return this.options.queue.limit.callsPerSecond ?? 0;
     }
 
     /** Refuses new offers, because the node is stopping. */
@@ -139,6 +141,11 @@
         const { availability: targetAvailability, announced } = target;
         const availability = this.isStopping ? TargetAvailability.Leaving : targetAvailability;
         const slots = announced?.slots ?? 0;
+        const incarnation = `${announced?.id} ${announced?.startedAt}`;
+        if (incarnation !== this.lastIncarnation) {
+            this.lastIncarnation = incarnation;
+            queue.limit.reset();
+        }
         const targetState = `${announced?.id} ${availability} ${slots}`;
         if (targetState !== this.lastTargetState) {
             this.lastTargetState = targetState;
@@ -167,6 +174,10 @@
         if (reason !== undefined) {
             return this.refuse(incoming, reason, 0);
         }
+        if (offer.targetCallsPerSecond !== undefined) {
+            this.options.queue.limit.adopt(offer.targetCallsPerSecond);
+            this.logLimit("peer");
+        }
         const now = this.options.clock.now();
         const key = `${offer.callId} ${++this.offerCount}`;
         const deadlineAt = now + offer.deadlineMs;
@@ -292,7 +303,7 @@
         if (this.queueTimer === undefined && this.options.queue.queuedCalls > 0) {
             this.queueTimer = setTimeout(() => {
                 this.queueTimer = undefined;
-                this.applyQueueEvents(this.options.queue.expireQueued());
+                this.applyQueueEvents(this.options.queue.advance());
                 this.scheduleExpiry();
             }, queueExpiryIntervalMs);
         }
@@ -317,24 +328,34 @@
         incoming.refuse({ reason, retryAfterMs: Math.ceil(retryAfterMs), report });
     }
 
-    private handleTargetResponse({ callsPerSecond, isLeaving }: TargetResponseHead): void {
+    private handleTargetHead({ callsPerSecond, isLeaving }: TargetResponseHead): void {
         const { target, queue, log } = this.options;
-        target.recordResponse();
-        const { runningCalls: running, queuedCalls: queued } = queue;
-        const load = { target: target.announced?.id, sent: this.callsSent, running, queued };
-        if (callsPerSecond !== this.callsPerSecond) {
-            log.info("target-limit", { ...load, callsPerSecond, previous: this.callsPerSecond });
-            this.callsPerSecond = callsPerSecond;
-        }
-        else if (callsPerSecond !== undefined) {
-            log.sample("target-limited", { ...load, callsPerSecond });
-        }
+        queue.limit.handleResponse(callsPerSecond);
+        this.logLimit("target");
         if (isLeaving && !this.isTargetLeaving) {
-            log.info("target-leaving", load);
+            log.info("target-leaving", { target: target.announced?.id, sent: this.callsSent });
         }
         this.isTargetLeaving = isLeaving;
     }
 
+    private logLimit(from: "target" | "peer"): void {
+        const { target, queue, log } = this.options;
+        const { callsPerSecond } = queue.limit;
+        const previous = this.lastCallsPerSecond;
+        if (callsPerSecond === undefined && previous === undefined) {
+            return;
+        }
+        const { runningCalls: running, queuedCalls: queued } = queue;
+        const fields = { target: target.announced?.id, callsPerSecond, sent: this.callsSent, running, queued };
+        if (callsPerSecond === previous) {
+            log.sample("target-limited", fields);
+        }
+        else {
+            this.lastCallsPerSecond = callsPerSecond;
+            log.info("target-limit", { ...fields, previous, from });
+        }
+    }
+
     private handleBrokenConnection(connection: BrokenConnection): void {
         this.brokenConnections.push({ ...connection, at: this.options.clock.wallTime() });
         if (this.brokenConnections.length === 1) {
--- a/protocol/forwarding/src/messages.ts
+++ b/protocol/forwarding/src/messages.ts
@@ -41,6 +41,8 @@
     readonly bodyBytes?: number | undefined;
     /** Digest of the request; equal for calls with the same request. */
     readonly fingerprint: string;
+    /** Limit that the target named to the caller's node, in calls per second; `undefined` if it named none. */
+    readonly targetCallsPerSecond?: number | undefined;
 }
 
 /** An offer together with the head of its call. */
@@ -140,10 +142,12 @@
     if (!isRecord(value)) {
         return undefined;
     }
-    const { target, route, callerService, callId, fingerprint, deadlineMs, objectiveMs, priority, bodyBytes } = value;
+    const { target, route, callerService, callId, fingerprint, deadlineMs, objectiveMs, priority } = value;
+    const { bodyBytes, targetCallsPerSecond } = value;
     if (!isText(target) || !isText(route) || !isText(callerService) || !isText(callId) || !isText(fingerprint)
         || !isNumber(deadlineMs) || !isNumber(objectiveMs) || !isNumber(priority)
-        || !(bodyBytes === undefined || isNumber(bodyBytes))) {
+        || !(bodyBytes === undefined || isNumber(bodyBytes))
+        || !(targetCallsPerSecond === undefined || isNumber(targetCallsPerSecond))) {
         return undefined;
     }
     return {
@@ -156,6 +160,7 @@
         objectiveMs,
         priority,
         bodyBytes,
+        targetCallsPerSecond,
         isInner: value.isInner === true,
         spareOnly: value.spareOnly === true,
         isRepeat: value.isRepeat === true,
--- a/protocol/forwarding/src/targetLoad.ts
+++ b/protocol/forwarding/src/targetLoad.ts
@@ -13,6 +13,21 @@
     Down = "down",
 }
 
+export enum TargetLimitKind {
+    /** The node has started and not heard from the target yet. */
+    Unknown = "unknown",
+    Limited = "limited",
+}
+
+/** What a node knows of the limit that its target names. */
+export type TargetLimit =
+    | { readonly kind: TargetLimitKind.Unknown }
+    | {
+        readonly kind: TargetLimitKind.Limited;
+        /** Calls that the target accepts from all nodes together. */
+        readonly callsPerSecond: number;
+    };
+
 /** Load and health of a target, as observed by its node. */
 export interface TargetLoad {
     readonly availability: TargetAvailability;
@@ -29,6 +44,8 @@
     readonly meanRunTimeMs: Milliseconds;
     /** Share of recent calls that failed in the target, 0 to 1. */
     readonly failureShare: number;
+    /** `undefined` if the target names no limit. */
+    readonly limit?: TargetLimit | undefined;
 }
 
 const availabilities: ReadonlySet<unknown> = new Set(Object.values(TargetAvailability));
@@ -50,6 +67,17 @@
                 sendMs,
                 meanRunTimeMs,
                 failureShare,
+                limit: parseTargetLimit(value.limit),
             }
         : undefined;
 }
+
+/** A limit of an unknown kind counts as unknown, so that it does not replace what is known. */
+function parseTargetLimit(value: unknown): TargetLimit | undefined {
+    if (value === undefined) {
+        return undefined;
+    }
+    return isRecord(value) && value.kind === TargetLimitKind.Limited && isNumber(value.callsPerSecond)
+        ? { kind: TargetLimitKind.Limited, callsPerSecond: value.callsPerSecond }
+        : { kind: TargetLimitKind.Unknown };
+}
