Heed a target that says in its responses that it leaves

A target that left was sent calls until its report to its node arrived, or for good when the report was lost, although each of its responses said so.

Ruled out: that the report to the node is handled late; it is in force from its arrival (registration.test.ts).

Change: such a response counts like a report that the target drains, for the incarnation that the call was sent to. Its node refuses calls and queued offers and writes the entry. Load reports name the leaving target, and a caller's node never offers a call to this incarnation again, even if its node restarts while the store is away and takes it for ready.

--- a/coordination/forwarding/src/targetDirectory.ts
+++ b/coordination/forwarding/src/targetDirectory.ts
@@ -7,8 +7,9 @@
  */
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import type { Random } from "@bilberrycroft/core.random";
-import { type NodeEntry, type TargetLoad, TargetPhase } from "@bilberrycroft/protocol.forwarding";
+import { type NodeEntry, type TargetIncarnation, type TargetLoad, TargetPhase } from "@bilberrycroft/protocol.forwarding";
 import type { Route } from "@bilberrycroft/state.routes";
+import { evictOldestIfFull } from "./boundedMap";
 import { type OverloadRefusal, PeerRecord } from "./peerRecord";
 import { computeRank, selectSubset, sortByRank } from "./targetSubset";
 
@@ -61,6 +62,8 @@
 /** A node must respond within this share of the remaining time, so that another node can still run the call. */
 const maxResponseTimeoutShare = 0.4;
 const millisecondsPerSecond = 1_000;
+/** Bounds memory use; a target leaves for good within seconds. */
+const maxLeavingTargets = 1_024;
 /** Keeps the cost of a target finite that accepts hardly any calls. */
 const minUsableSlots = 0.01;
 /** Random share of a cost, so that nodes with the same observations choose different targets. */
@@ -69,6 +72,11 @@
 export class TargetDirectory {
     private readonly records = new Map<string, PeerRecord>();
     private byService = new Map<string, PeerRecord[]>();
+    /**
+     * Targets that have told this node that they leave, by incarnation. Kept even if their entries change, because the
+     * node of such a target may restart and no longer know.
+     */
+    private readonly leavingTargets = new Map<string, TargetIncarnation>();
 
     constructor(private readonly options: TargetDirectoryOptions) {}
 
@@ -106,6 +114,11 @@
     recordLoad(node: string, load: TargetLoad, route?: string): void {
         const record = this.records.get(node);
         record?.recordLoad(load, route, this.options.clock.now());
+        if (load.leavingTarget !== undefined) {
+            const key = incarnationKey(load.leavingTarget);
+            evictOldestIfFull(this.leavingTargets, key, maxLeavingTargets);
+            this.leavingTargets.set(key, load.leavingTarget);
+        }
         if (record?.isHealthy === false) {
             this.options.onUnhealthy?.();
         }
@@ -189,7 +202,7 @@
 
     private selectCandidates(targets: readonly PeerRecord[], { exclude }: CandidateRequest): PeerRecord[] {
         const isEligible = ({ entry }: PeerRecord): boolean =>
-            entry.target?.phase === TargetPhase.Ready && !exclude.has(entry.node);
+            this.acceptsCalls(entry) && !exclude.has(entry.node);
         const healthy = selectSubset(targets, record => record.isHealthy && isEligible(record));
         return healthy.length > 0 ? healthy : selectSubset(targets, isEligible);
     }
@@ -251,7 +264,11 @@
 
     private nodesToProbe(): PeerRecord[] {
         return [...this.records.values()].filter(({ isHealthy, entry }) =>
-            !isHealthy && entry.target?.phase === TargetPhase.Ready);
+            !isHealthy && this.acceptsCalls(entry));
+    }
+
+    private acceptsCalls({ target }: NodeEntry): boolean {
+        return target?.phase === TargetPhase.Ready && !this.leavingTargets.has(incarnationKey(target));
     }
 
     private indexByService(): void {
@@ -268,6 +285,10 @@
     }
 }
 
+function incarnationKey({ id, startedAt }: TargetIncarnation): string {
+    return `${startedAt} ${id}`;
+}
+
 /** Number of slots, possibly fractional, that a target with a limit of its calls can keep busy. */
 function usableSlots(slots: number, meanRunTimeMs: Milliseconds, callsPerSecond: number | undefined): number {
     return callsPerSecond === undefined
--- a/coordination/forwarding/test/targetDirectory.test.ts
+++ b/coordination/forwarding/test/targetDirectory.test.ts
@@ -155,6 +155,22 @@
             expect(directory.nodesDueForProbe()).toEqual([]);
         });
 
+        it("never chooses a target again that told this node that it leaves, even if its entry is written anew", () => {
+            directory.recordLoad("a", createLoad({ leavingTarget: { id: "t-a", startedAt: 1 } }));
+            expect(chooseMany()).toEqual(new Set(["b"]));
+            directory.setEntries([createEntry("b", "local")]);
+            directory.setEntries([createEntry("a", "local"), createEntry("b", "local")]);
+            expect(chooseMany()).toEqual(new Set(["b"]));
+            expect(chooseMany({ exclude: new Set(["b"]) })).toEqual(new Set([undefined]));
+        });
+
+        it("chooses the next incarnation of a target that left", () => {
+            directory.recordLoad("a", createLoad({ leavingTarget: { id: "t-a", startedAt: 1 } }));
+            const entry = createEntry("a", "local");
+            directory.setEntries([{ ...entry, target: { ...entry.target, startedAt: 2 } as NodeEntry["target"] }]);
+            expect(chooseMany()).toEqual(new Set(["a"]));
+        });
+
         it("discards the observations of a node's previous target", () => {
             directory.recordLoad("a", createLoad({ failureShare: 1 }), "r");
             const entry = createEntry("a", "local");
--- a/coordination/registration/src/localTarget.ts
+++ b/coordination/registration/src/localTarget.ts
@@ -5,7 +5,7 @@
  * even if earlier heartbeats of it arrive afterwards.
  */
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
-import { type AnnouncedTarget, TargetAvailability, TargetPhase } from "@bilberrycroft/protocol.forwarding";
+import { type AnnouncedTarget, TargetAvailability, type TargetIncarnation, TargetPhase } from "@bilberrycroft/protocol.forwarding";
 import {
     type HeartbeatOutcome,
     HeartbeatOutcomeKind,
@@ -44,6 +44,14 @@
         return this.current?.announced;
     }
 
+    /** The target if it has announced that it leaves. */
+    get leaving(): TargetIncarnation | undefined {
+        const { announced } = this.current ?? {};
+        return announced?.phase === TargetPhase.Draining
+            ? { id: announced.id, startedAt: announced.startedAt }
+            : undefined;
+    }
+
     /** Whether the target accepts calls. */
     get availability(): TargetAvailability {
         if (this.current === undefined) {
--- a/daemons/sidecar/src/calls/targetCall.ts
+++ b/daemons/sidecar/src/calls/targetCall.ts
@@ -23,8 +23,8 @@
     createReport(route: string): NodeReport;
     /** Called for each response of the target, also for one that is not to its call. */
     recordTargetResponse(): void;
-    /** Called with the head of each response that the target has sent for its call. */
-    handleTargetHead(head: TargetResponseHead): void;
+    /** Called with the head of each response that the target has sent for its call, and the target's start. */
+    handleTargetHead(head: TargetResponseHead, startedAt: Milliseconds): void;
     /** Called when a call is sent to the target. */
     recordSend(): void;
     /** Called if the target's address refuses the connection, which means that no process listens there. */
@@ -47,6 +47,8 @@
     readonly incoming: IncomingOffer;
     readonly body: Buffer;
     readonly deadlineAt: Milliseconds;
+    /** Start of the target that runs the call, in milliseconds since the epoch. */
+    readonly targetStartedAt: Milliseconds;
 }
 
 type ResponseEvent = Extract<AttemptEvent, { kind: AttemptEventKind.Responded }>;
@@ -162,7 +164,7 @@
             return RunResult.Broken;
         }
         if (head.isFromTarget) {
-            services.handleTargetHead(head);
+            services.handleTargetHead(head, this.call.targetStartedAt);
         }
         if (head.isNotRun) {
             event.response.resume();
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -216,6 +216,7 @@
             targetAddress: settings.targetAddress,
             getLocalVersions: () => this.getLocalVersions(),
             handlePeerVersions: versions => this.handlePeerVersions(versions),
+            handleTargetLeaving: departure => void this.registrationTask.handleDeparture(departure),
             handleTargetCrash: crashes => this.handleTargetCrash(crashes),
         });
     }
--- a/daemons/sidecar/src/tasks/targetTask.ts
+++ b/daemons/sidecar/src/tasks/targetTask.ts
@@ -10,7 +10,7 @@
     type TargetQueue,
 } from "@bilberrycroft/coordination.forwarding";
 import { type Quarantine, QuarantineDecisionKind } from "@bilberrycroft/coordination.quarantine";
-import type { LocalTarget } from "@bilberrycroft/coordination.registration";
+import type { LocalTarget, TargetDeparture } from "@bilberrycroft/coordination.registration";
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import { assertNever } from "@bilberrycroft/core.errors";
 import type { EventLog } from "@bilberrycroft/core.eventLog";
@@ -40,6 +40,8 @@
     readonly pacer: ResponsePacer;
     getLocalVersions(): StateVersions;
     handlePeerVersions(versions: StateVersions): void;
+    /** Called when the target says in a response that it leaves. */
+    handleTargetLeaving(departure: TargetDeparture): void;
     /** Reports the requests that were in flight when the target crashed. */
     handleTargetCrash(crashes: readonly AnnouncedCrash[]): void;
 }
@@ -81,7 +83,6 @@
     private callsSent = 0;
     private lastIncarnation = "";
     private lastCallsPerSecond: number | undefined;
-    private isTargetLeaving = false;
 
     constructor(private readonly options: TargetTaskOptions) {
         const { clock, client, codec, log, targetAddress, target } = options;
@@ -93,7 +94,7 @@
             targetAddress,
             createReport: route => this.createReport(route),
             recordTargetResponse: () => target.recordResponse(),
-            handleTargetHead: head => this.handleTargetHead(head),
+            handleTargetHead: (head, startedAt) => this.handleTargetHead(head, startedAt),
             recordSend: () => {
                 this.callsSent++;
             },
@@ -161,8 +162,10 @@
 
     /** Returns the load and the state versions of this node. */
     createReport(route: string): NodeReport {
+        const load = this.options.queue.load(route, this.estimateTransferMs(route));
+        const { leaving: leavingTarget } = this.options.target;
         return {
-            load: this.options.queue.load(route, this.estimateTransferMs(route)),
+            load: leavingTarget === undefined ? load : { ...load, leavingTarget },
             state: this.options.getLocalVersions(),
         };
     }
@@ -262,7 +265,8 @@
     private async runCall(key: string, { incoming, deadlineAt }: PendingOffer, body: Buffer): Promise<void> {
         const { offer } = incoming.message;
         this.running.set(offer.callId, offer);
-        const call = new TargetCall({ incoming, body, deadlineAt }, this.services);
+        const targetStartedAt = this.options.target.announced?.startedAt ?? 0;
+        const call = new TargetCall({ incoming, body, deadlineAt, targetStartedAt }, this.services);
         incoming.observe({
             onBody: () => undefined,
             onWithdrawn: () => call.handleWithdrawal(),
@@ -328,14 +332,14 @@
         incoming.refuse({ reason, retryAfterMs: Math.ceil(retryAfterMs), report });
     }
 
-    private handleTargetHead({ callsPerSecond, isLeaving }: TargetResponseHead): void {
-        const { target, queue, log } = this.options;
+    private handleTargetHead({ callsPerSecond, isLeaving }: TargetResponseHead, startedAt: Milliseconds): void {
+        const { target, queue, handleTargetLeaving } = this.options;
         queue.limit.handleResponse(callsPerSecond);
         this.logLimit("target");
-        if (isLeaving && !this.isTargetLeaving) {
-            log.info("target-leaving", { target: target.announced?.id, sent: this.callsSent });
+        if (isLeaving && target.announced?.startedAt === startedAt && target.leaving === undefined) {
+            this.options.log.info("target-leaving", { target: target.announced.id, startedAt, sent: this.callsSent });
+            handleTargetLeaving({ id: target.announced.id, startedAt });
         }
-        this.isTargetLeaving = isLeaving;
     }
 
     private logLimit(from: "target" | "peer"): void {
--- a/protocol/forwarding/src/targetLoad.ts
+++ b/protocol/forwarding/src/targetLoad.ts
@@ -2,7 +2,7 @@
  * Load of a target, which its node reports with each response.
  */
 import type { Milliseconds } from "@bilberrycroft/core.clock";
-import { isNumber, isRecord } from "@bilberrycroft/core.json";
+import { isNumber, isRecord, isText } from "@bilberrycroft/core.json";
 
 /** Whether a target accepts calls. */
 export enum TargetAvailability {
@@ -46,6 +46,15 @@
     readonly failureShare: number;
     /** `undefined` if the target names no limit. */
     readonly limit?: TargetLimit | undefined;
+    /** The target, if it leaves for good; `undefined` if only its node stops. */
+    readonly leavingTarget?: TargetIncarnation | undefined;
+}
+
+/** One life of a target; a target may start again under the same id. */
+export interface TargetIncarnation {
+    readonly id: string;
+    /** Start of the target, in milliseconds since the epoch. */
+    readonly startedAt: Milliseconds;
 }
 
 const availabilities: ReadonlySet<unknown> = new Set(Object.values(TargetAvailability));
@@ -68,10 +77,17 @@
                 meanRunTimeMs,
                 failureShare,
                 limit: parseTargetLimit(value.limit),
+                leavingTarget: parseTargetIncarnation(value.leavingTarget),
             }
         : undefined;
 }
 
+function parseTargetIncarnation(value: unknown): TargetIncarnation | undefined {
+    return isRecord(value) && isText(value.id) && isNumber(value.startedAt)
+        ? { id: value.id, startedAt: value.startedAt }
+        : undefined;
+}
+
 /** A limit of an unknown kind counts as unknown, so that it does not replace what is known. */
 function parseTargetLimit(value: unknown): TargetLimit | undefined {
     if (value === undefined) {
