Accept only a refusal that names its call

Callers were told that a call did not run, and to come back, while the target was running it.

Cause: a response without an identifier was taken for the response to the present call, and an unmarked 503 was passed on as the target's failure, although callers read it as a promise. With an identifier of another call it was already a loss.

Change: a response that does not name its call is a loss, whatever its status; a 408, 429 or 503 without the target's statement that it did not run the call is one too.

--- a/daemons/sidecar/src/calls/targetCall.ts
+++ b/daemons/sidecar/src/calls/targetCall.ts
@@ -156,10 +156,10 @@
             event.response.destroy();
             return RunResult.Cancelled;
         }
-        if (head.callId !== undefined && head.callId !== offer.callId) {
-            // The response belongs to an earlier call, so later responses on this connection cannot be matched either.
+        if (head.callId !== offer.callId) {
+            // Probably the response to an earlier call, so later ones on this connection cannot be matched either.
             event.response.destroy();
-            this.log("answer-of-another-call", head.callId);
+            this.log("answer-of-another-call", head.callId ?? "no identifier");
             this.reportLoss(CallReason.AnswerLost);
             return RunResult.Broken;
         }
@@ -173,7 +173,7 @@
             return RunResult.Shed;
         }
         const isSuccess = event.status >= firstSuccessStatus && event.status < firstRedirectStatus;
-        if (head.isEncoded || (isSuccess && (!head.isSigned || head.callId === undefined))) {
+        if (head.isEncoded || head.isMisleading || (isSuccess && !head.isSigned)) {
             event.response.destroy();
             this.log("answer-not-signed", String(event.status));
             this.reportLoss(CallReason.AnswerLost);
--- a/daemons/sidecar/src/ports.ts
+++ b/daemons/sidecar/src/ports.ts
@@ -34,6 +34,8 @@
     readonly isSigned: boolean;
     /** Whether the target reports that it did not run the call. */
     readonly isNotRun: boolean;
+    /** Whether callers would take the status for a report that the call did not run, although the target makes none. */
+    readonly isMisleading: boolean;
     /** Whether the response provably comes from the target that the call named, and not from another one. */
     readonly isFromTarget: boolean;
     /** Whether the body has a content encoding, and therefore is not as the target wrote it. */
