Refuse the calls that a stopping node cannot finish

Callers whose request came late in a planned stop got no answer, although it had been passed on, also for calls that may not be repeated.

Cause: after SIGTERM a node closes its listener and its idle connections, but the runtime does not count a connection as idle on which no request has arrived yet. A request on such a connection was taken at any time and cut when the process ended. The same happened during the last steps of the stop, while the entry in the store is removed.

Change: from the end of the readiness period on, a call whose deadline lies past the end of the process is refused at once as not run, with the time after which the caller may return. Calls that came earlier are finished as before, and once no call is in progress all new ones are refused.

--- a/daemons/sidecar/src/calls/callerCall.ts
+++ b/daemons/sidecar/src/calls/callerCall.ts
@@ -26,7 +26,7 @@
 import type { OfferInProgress, PeerClient } from "@bilberrycroft/transport.forwarding";
 import type { CallHeaderCodec } from "../ports";
 import { IncomingResponse } from "./incomingResponse";
-import { sendLocalResponse } from "./localResponses";
+import { limitRetryAfter, sendLocalResponse } from "./localResponses";
 
 /** Dependencies shared by all calls of a node. */
 export interface CallerServices {
@@ -395,11 +395,11 @@
         retryAfterMs: Milliseconds | undefined,
     ): void {
         const { call, services } = this;
-        const maxRetryAfterMs = Math.max(0, call.deadlineAt - services.clock.now()) / retryAfterDivisor;
+        const remainingMs = call.deadlineAt - services.clock.now();
         sendLocalResponse(call.response, services.codec, {
             callId: call.callId,
             reason,
-            retryAfterMs: retryAfterMs === undefined ? undefined : Math.min(retryAfterMs, maxRetryAfterMs),
+            retryAfterMs: retryAfterMs === undefined ? undefined : limitRetryAfter(retryAfterMs, remainingMs),
         });
         this.end(endWithoutResponse(outcome, reason));
     }
@@ -436,8 +436,6 @@
 }
 
 const firstServerErrorStatus = 500;
-/** Limits Retry-After to one third of the caller's remaining time. */
-const retryAfterDivisor = 3;
 
 function endWithoutResponse(outcome: CallOutcome, reason: CallReason | undefined): Omit<CallEnd, "attempts"> {
     return { outcome, reason, status: undefined, target: undefined, responseBytes: 0 };
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -45,6 +45,8 @@
 /** Callers stop using the node after two failed readiness checks one second apart; includes time for the second one. */
 const readinessPropagationMs: Milliseconds = 2_300;
 const stopPollIntervalMs: Milliseconds = 50;
+/** Time reserved for sending the response to a call that ends at its deadline. */
+const responseReserveMs: Milliseconds = 100;
 /** Part of the grace period reserved so that the process exits before SIGKILL. */
 const exitReserveMs: Milliseconds = 400;
 
@@ -309,9 +311,12 @@
         this.relayTask.announceStop();
         await sleep(Math.min(readinessPropagationMs, endsAt - startedAt));
         const closed = this.callerListener?.stopAccepting();
+        // Requests still arrive on connections that are open and have not been used yet.
+        this.callerTask.announceEnd(endsAt - responseReserveMs);
         while (this.clock.now() < endsAt && (this.callerTask.inProgress > 0 || this.targetTask.inProgress > 0)) {
             await sleep(stopPollIntervalMs);
         }
+        this.callerTask.announceEnd(this.clock.now());
         await Promise.race([closed, sleep(Math.max(0, Math.min(stopPollIntervalMs, endsAt - this.clock.now())))]);
         await Promise.race([this.registrationTask.deregister(), sleep(Math.max(0, endsAt - this.clock.now()))]);
         await this.close();
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -21,7 +21,7 @@
 import { BodyOutcomeKind, readBody } from "@bilberrycroft/transport.calls";
 import { copyHeaders } from "@bilberrycroft/transport.forwarding";
 import { type AcceptedCall, type CallEnd, CallerCall, type CallerServices } from "../calls/callerCall";
-import { bodyTooLargeStatus, sendLocalResponse } from "../calls/localResponses";
+import { bodyTooLargeStatus, limitRetryAfter, sendLocalResponse } from "../calls/localResponses";
 import type { CallMetrics } from "../metrics";
 import type { CallerHead } from "../ports";
 
@@ -41,6 +41,8 @@
 /** Maximum time for which a caller waits; also used if the caller does not send its wait time. */
 const maxWaitMs: Milliseconds = 600_000;
 const noConfigurationRetryAfterMs: Milliseconds = 300;
+/** Shortest retry delay while this process is about to end. */
+const minStopRetryAfterMs: Milliseconds = 300;
 /** Mean response size above which a route's calls use a separate connection. */
 const minBulkBytes = 16_384;
 
@@ -51,6 +53,8 @@
     private readonly callerAges: CallerAges;
     private table: RouteTable | undefined;
     private callsInProgress = 0;
+    /** Calls that may last longer are refused. */
+    private processEndsAt: Milliseconds = Number.POSITIVE_INFINITY;
 
     constructor(private readonly options: CallerTaskOptions) {
         this.serviceSelector = new WeightedRoundRobin(options.random);
@@ -67,6 +71,11 @@
         this.table = table;
     }
 
+    /** Refuses calls that may last longer than until the given time, at which the process ends. */
+    announceEnd(endsAt: Milliseconds): void {
+        this.processEndsAt = endsAt;
+    }
+
     handle(request: IncomingMessage, response: ServerResponse): void {
         this.callsInProgress++;
         void this.handleCall(request, response, this.options.clock.now()).finally(() => {
@@ -127,6 +136,15 @@
             sendLocalResponse(response, options.codec, { callId: head.callId, reason, retryAfterMs });
             return;
         }
+        if (call.deadlineAt > this.processEndsAt) {
+            const reason = CallReason.Draining;
+            options.log.info("call-refused", { call: head.callId, route: route.name, version: call.version, reason });
+            options.metrics.recordRefusal(reason);
+            const remainingMs = Math.max(minStopRetryAfterMs, this.processEndsAt - options.clock.now());
+            const retryAfterMs = limitRetryAfter(remainingMs, call.deadlineAt - options.clock.now());
+            sendLocalResponse(response, options.codec, { callId: head.callId, reason, retryAfterMs });
+            return;
+        }
         const services: PlanDependencies = {
             clock: options.clock,
             directory: options.directory,
