Offer calls again to a target whose limit may have ended

Callers got slower responses long after a target had stopped naming a limit: it kept idle while the other targets ran its calls.

Cause: a caller's node hears of a limit only with the responses to its own offers. A target with a low limit looked so expensive that the node never offered it a call again, and so never heard that the limit had ended.

Ruled out: that the target's node keeps the limit; it drops it with the first response that names none.

Change: the choice of a target ignores a limit that was heard more than a second ago. The node then offers one call, which the target's node refuses at once if the limit still binds. What is passed on with offers, for a node that has restarted, is kept regardless of its age.

Both tests fail without the change.

--- a/coordination/forwarding/src/peerRecord.ts
+++ b/coordination/forwarding/src/peerRecord.ts
@@ -14,6 +14,8 @@
 /** Delay before an unresponsive node is probed again; doubles up to the maximum. */
 const initialProbeDelayMs: Milliseconds = 200;
 const maxProbeDelayMs: Milliseconds = 1_000;
+/** A limit heard longer ago is ignored when a target is chosen, so that its end is noticed. */
+const limitValidityMs: Milliseconds = 1_000;
 /** Bounds memory use when routes are added and removed. */
 const maxRoutes = 512;
 
@@ -23,6 +25,11 @@
     readonly at: Milliseconds;
 }
 
+interface LimitObservation {
+    readonly callsPerSecond: number;
+    readonly at: Milliseconds;
+}
+
 interface LoadObservation {
     readonly load: TargetLoad;
     readonly at: Milliseconds;
@@ -58,7 +65,7 @@
     readonly responseTimes = new ResponseTimes();
     private latestLoad: LoadObservation | undefined;
     private overload: Overload | undefined;
-    private knownCallsPerSecond: number | undefined;
+    private limit: LimitObservation | undefined;
     private nextProbeAt: Milliseconds | undefined;
     private probeDelayMs = initialProbeDelayMs;
 
@@ -81,7 +88,7 @@
             this.runTimes.clear();
             this.latestLoad = undefined;
             this.overload = undefined;
-            this.knownCallsPerSecond = undefined;
+            this.limit = undefined;
             this.markHealthy();
         }
     }
@@ -127,7 +134,7 @@
             this.runTimes.set(route, { runTimeMs: load.runTimeMs, sendMs: load.sendMs, at: now });
         }
         if (load.limit?.kind !== TargetLimitKind.Unknown) {
-            this.knownCallsPerSecond = load.limit?.callsPerSecond;
+            this.limit = load.limit === undefined ? undefined : { callsPerSecond: load.limit.callsPerSecond, at: now };
         }
         if (load.availability === TargetAvailability.Serving) {
             this.markHealthy();
@@ -170,7 +177,13 @@
 
     /** Limit that the target last named, in calls per second; `undefined` if it named none. */
     get callsPerSecond(): number | undefined {
-        return this.knownCallsPerSecond;
+        return this.limit?.callsPerSecond;
+    }
+
+    /** The limit, if it was heard recently enough to choose a target by. */
+    recentCallsPerSecond(now: Milliseconds): number | undefined {
+        const { limit } = this;
+        return limit !== undefined && now - limit.at < limitValidityMs ? limit.callsPerSecond : undefined;
     }
 
     /** Mean run time over all routes; `undefined` before the first load report. */
--- a/coordination/forwarding/src/targetDirectory.ts
+++ b/coordination/forwarding/src/targetDirectory.ts
@@ -236,7 +236,7 @@
         const { latencyObjectiveMs } = request.route;
         const { target } = record.entry;
         const meanRunTimeMs = record.meanRunTimeMs ?? typicalMs;
-        const slots = usableSlots(Math.max(1, target?.slots ?? 1), meanRunTimeMs, record.callsPerSecond);
+        const slots = usableSlots(Math.max(1, target?.slots ?? 1), meanRunTimeMs, record.recentCallsPerSecond(now));
         const occupancy = record.occupancy(now);
         const fullness = Math.min(1, occupancy / slots);
         const waitMs = Math.max(0, occupancy + 1 - slots) * meanRunTimeMs / slots;
--- a/coordination/forwarding/test/loadPlay.ts
+++ b/coordination/forwarding/test/loadPlay.ts
@@ -34,8 +34,8 @@
     readonly deadlineMs: Milliseconds;
     /** Whether the objective of a call that returns counts from its caller's first attempt, as `CallerAges` tells. */
     readonly tracksAges: boolean;
-    /** Limits that the targets name in their responses from the start, in calls per second, by index. */
-    readonly limits?: readonly (number | undefined)[];
+    /** Limit that a target names in a response at the given time, in calls per second. */
+    limitOf?(target: number, at: Milliseconds): number | undefined;
 }
 
 /** What the callers got. */
@@ -241,7 +241,7 @@
             this.result.busyMs += Math.max(0, Math.min(runMs, this.load.durationMs - this.clock.now()));
             this.later(networkDelayMs, () => carryOut(plan.handleGranted(attempt)));
             this.later(runMs, () => {
-                queue.limit.handleResponse(this.load.limits?.[index]);
+                queue.limit.handleResponse(this.load.limitOf?.(index, this.clock.now()));
                 end(() => plan.handleAttemptEnd(attempt, { kind: AttemptEndKind.Answered }));
                 this.apply(queue.finish(key, RunResult.Answered));
             });
--- a/coordination/forwarding/test/requestLimit.test.ts
+++ b/coordination/forwarding/test/requestLimit.test.ts
@@ -175,7 +175,7 @@
         route: { ...repeatableRoute, latencyObjectiveMs: objectiveMs, timeoutMs: 1_000 },
         deadlineMs: 1_000,
         tracksAges: true,
-        limits,
+        limitOf: target => limits[target],
     }).run();
     const seeds = [1, 2, 3, 4];
     const expectWithinLimits = (arrivals: readonly (readonly number[])[]): void => limits.forEach((limit, index) =>
@@ -201,3 +201,30 @@
         });
     });
 });
+
+describe("three targets, one of which names a low limit for five seconds", () => {
+    const limitEndsAt = 5_000;
+    const durationMs = 15_000;
+    const measuredMs = 5_000;
+
+    it("gets at least half of an even share of the calls soon after that", () => {
+        for (const seed of [1, 2, 3, 4]) {
+            const { arrivals } = new LoadPlay({
+                seed,
+                callerNodes: 12,
+                targets: 3,
+                slots: 12,
+                runMs: 100,
+                loadFactor: 0.4,
+                durationMs,
+                route: { ...repeatableRoute, latencyObjectiveMs: 400, timeoutMs: 1_000 },
+                deadlineMs: 1_000,
+                tracksAges: true,
+                limitOf: (target, at) => target === 0 && at < limitEndsAt ? 1 : undefined,
+            }).run();
+            const counts = arrivals.map(times => times.filter(at => at > durationMs - measuredMs).length);
+            const evenShare = counts.reduce((sum, count) => sum + count) / counts.length;
+            expect(counts[0]).toBeGreaterThan(evenShare / 2);
+        }
+    });
+});
--- a/coordination/forwarding/test/targetDirectory.test.ts
+++ b/coordination/forwarding/test/targetDirectory.test.ts
@@ -77,6 +77,16 @@
             expect(chooseMany()).toEqual(new Set(["b"]));
         });
 
+        it("do not keep calls from the target for longer than a second, so that their end is noticed", () => {
+            directory.recordLoad("a", createLoad(limited(1)), "r");
+            directory.recordLoad("b", createLoad(), "r");
+            expect(chooseMany()).toEqual(new Set(["b"]));
+            clock.advance(1_000);
+            directory.recordLoad("b", createLoad(), "r");
+            expect(chooseMany()).toContain("a");
+            expect(directory.callsPerSecondOf("a")).toBe(1);
+        });
+
         it("are kept while the node beside the target does not know them after its restart", () => {
             directory.recordLoad("a", createLoad(limited(5)));
             directory.recordLoad("a", createLoad({ limit: { kind: TargetLimitKind.Unknown } }));
