Send responses whole before a stopping node ends

A caller that read a large response slowly while its node was stopped got a part of it, long before the end of the grace.

Cause: a response counted as done once it was buffered in the process. The node then ended, or closed the connection even earlier, because closing the runtime's HTTP server destroys connections whose response has been ended but not sent.

Change: a call is in progress until its response has left the process, and a stopping listener closes a connection only after that. Connections without a response in progress are closed as before.

--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -61,7 +61,7 @@
         this.callerAges = new CallerAges(options.clock);
     }
 
-    /** Number of calls without a response yet. */
+    /** Number of calls whose response has not been sent completely. */
     get inProgress(): number {
         return this.callsInProgress;
     }
@@ -78,9 +78,11 @@
 
     handle(request: IncomingMessage, response: ServerResponse): void {
         this.callsInProgress++;
-        void this.handleCall(request, response, this.options.clock.now()).finally(() => {
+        // Emitted once the response has left this process, or its connection has ended.
+        response.once("close", () => {
             this.callsInProgress--;
         });
+        void this.handleCall(request, response, this.options.clock.now());
     }
 
     private async handleCall(
--- a/transport/calls/src/listener.ts
+++ b/transport/calls/src/listener.ts
@@ -2,7 +2,7 @@
  * HTTP listener with limits on connections, header size and request time, used for calls and for control.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, Server as NetServer } from "node:net";
 import type { Duplex } from "node:stream";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 
@@ -76,8 +76,9 @@
                 stopAccepting: () => {
                     isStopping = true;
                     return new Promise(closed => {
-                        server.close(() => closed());
-                        server.closeIdleConnections();
+                        // The method of the HTTP server would also close connections on which a response is being sent.
+                        NetServer.prototype.close.call(server, () => closed());
+                        openResponses.closeConnections();
                     });
                 },
                 close: () => closeServer(server),
@@ -91,13 +92,35 @@
  * The caller would mistake an error response to them for the response to that request, or for a part of it.
  */
 class OpenResponses {
-    private readonly responses = new WeakMap<Duplex, Set<ServerResponse>>();
+    private readonly responses = new Map<Duplex, Set<ServerResponse>>();
+    private isClosing = false;
 
     add(socket: Duplex, response: ServerResponse): void {
-        const open = this.responses.get(socket) ?? new Set();
-        this.responses.set(socket, open);
+        const open = this.responses.get(socket) ?? this.addConnection(socket);
         open.add(response);
-        response.once("close", () => open.delete(response));
+        response.once("close", () => {
+            open.delete(response);
+            if (this.isClosing && open.size === 0) {
+                socket.end();
+            }
+        });
+    }
+
+    /** Closes the connections that have received a request, those with a response in progress once it has been sent. */
+    closeConnections(): void {
+        this.isClosing = true;
+        for (const [socket, open] of this.responses) {
+            if (open.size === 0) {
+                socket.destroy();
+            }
+        }
+    }
+
+    private addConnection(socket: Duplex): Set<ServerResponse> {
+        const open = new Set<ServerResponse>();
+        this.responses.set(socket, open);
+        socket.once("close", () => this.responses.delete(socket));
+        return open;
     }
 
     /** Whether the connection has no response in progress other than that to the malformed request itself. */
