Use one drain listener for each peer connection

Each wait of a large response for its socket added a listener, also if the wait ended at once, and nothing removed it until the socket drained. The listener kept the response in memory.

Change: a peer connection has one listener, which resumes the responses that wait. A wait also ends when its offer is withdrawn or the connection closes, as before. Searched for the same pattern: the other `once` listeners on sockets are added once for each connection, request or response.

Evidence: 300 responses over a connection whose reader is slow raise the warning before, none now (transport/forwarding/test/offerListener.test.ts).

--- a/transport/forwarding/src/offerListener.ts
+++ b/transport/forwarding/src/offerListener.ts
@@ -111,6 +111,7 @@
             onFrame: frame => this.handleFrame(frame),
             onClosed: () => this.handleClosed(),
         });
+        socket.on("drain", () => this.offers.forEach(offer => offer.handleDrain()));
     }
 
     close(): void {
@@ -221,6 +222,11 @@
         this.observer?.onWithdrawn();
     }
 
+    /** The socket accepts data again. */
+    handleDrain(): void {
+        this.resolveDrainWaitersIfWritable();
+    }
+
     reportQueued(): void {
         this.send(encodeFrame(FrameKind.Queued, this.id));
     }
@@ -257,7 +263,6 @@
     waitForDrain(): Promise<void> {
         return new Promise(resolve => {
             this.drainWaiters.push(resolve);
-            this.socket.once("drain", () => this.resolveDrainWaiters());
             this.resolveDrainWaitersIfWritable();
         });
     }
--- /dev/null
+++ b/transport/forwarding/test/offerListener.test.ts
@@ -0,0 +1,135 @@
+import { connect, createServer, type AddressInfo, type Socket } from "node:net";
+import { SystemClock } from "@bilberrycroft/core.clock";
+import { CallReason } from "@bilberrycroft/protocol.calls";
+import {
+    encodeFrame,
+    encodeMessage,
+    FrameKind,
+    type NodeReport,
+    type OfferMessage,
+    TargetAvailability,
+} from "@bilberrycroft/protocol.forwarding";
+import { type IncomingOffer, type OfferListener, ResponsePacer, startOfferListener } from "@bilberrycroft/transport.forwarding";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+
+const offerCount = 300;
+/** More than one write may leave unsent in a socket before it asks for a pause. */
+const partBytes = 65_536;
+/** More than a node queues for one response. */
+const largeBytes = 3_145_728;
+const host = "127.0.0.1";
+const report: NodeReport = {
+    load: {
+        availability: TargetAvailability.Serving,
+        running: 0,
+        queued: 0,
+        slots: 1,
+        runTimeMs: 1,
+        sendMs: 0,
+        meanRunTimeMs: 1,
+        failureShare: 0,
+    },
+    state: { configurationVersion: 1, registryRevision: 1 },
+};
+const message: OfferMessage = {
+    offer: {
+        target: "t",
+        route: "r",
+        deadlineMs: 10_000,
+        objectiveMs: 10_000,
+        priority: 1,
+        isInner: false,
+        spareOnly: false,
+        isRepeat: false,
+        repeatable: true,
+        callerService: "s",
+        callId: "c",
+        fingerprint: "f",
+    },
+    method: "GET",
+    path: "/",
+    headers: {},
+    state: report.state,
+};
+
+function findFreePort(): Promise<number> {
+    return new Promise(resolve => {
+        const server = createServer().listen(0, host, () => {
+            const { port } = server.address() as AddressInfo;
+            server.close(() => resolve(port));
+        });
+    });
+}
+
+describe("the connection from a node that does not read", () => {
+    let listener: OfferListener;
+    let pacer: ResponsePacer;
+    let socket: Socket;
+    let offers: IncomingOffer[];
+    let warnings: string[];
+    const recordWarning = ({ name }: Error): void => {
+        warnings.push(name);
+    };
+
+    beforeEach(async () => {
+        offers = [];
+        warnings = [];
+        process.on("warning", recordWarning);
+        const port = await findFreePort();
+        pacer = new ResponsePacer({ clock: new SystemClock(), linkBytesPerSecond: undefined });
+        listener = await startOfferListener({
+            host,
+            port,
+            maxConnections: 1,
+            pacer,
+            handleOffer: offer => {
+                offer.observe({ onBody: () => undefined, onWithdrawn: () => undefined });
+                offers.push(offer);
+            },
+            createReport: () => report,
+            onFollowerConnected: () => undefined,
+            onFollowerDisconnected: () => undefined,
+            getContent: () => Buffer.alloc(0),
+        });
+        socket = await new Promise(resolve => {
+            const opened = connect(port, host, () => resolve(opened));
+        });
+        socket.pause();
+    });
+    afterEach(async () => {
+        socket.destroy();
+        pacer.close();
+        await listener.close();
+        process.off("warning", recordWarning);
+    });
+
+    const receiveOffers = async (count: number): Promise<void> => {
+        for (let id = 1; id <= count; id++) {
+            socket.write(encodeMessage(FrameKind.Offer, id, message));
+        }
+        await expect.poll(() => offers.length).toBe(count);
+    };
+    const startResponse = (offer: IncomingOffer, bytes: number): Promise<void> => {
+        offer.startResponse({ status: 200, headers: {}, report });
+        return offer.write(Buffer.alloc(bytes)) ? Promise.resolve() : offer.waitForDrain();
+    };
+
+    it("gets one listener for all responses that wait for it", async () => {
+        await receiveOffers(offerCount);
+        const waits = offers.map(offer => startResponse(offer, partBytes));
+        socket.resume();
+        await Promise.all(waits);
+        offers.forEach(offer => offer.reportLoss({ reason: CallReason.AnswerLost, report }));
+        expect(warnings).toEqual([]);
+    });
+
+    it("ends the waits of the responses that are withdrawn, and of all when it is closed", async () => {
+        await receiveOffers(2);
+        const [withdrawn, closed] = offers.map(offer => startResponse(offer, largeBytes));
+        socket.write(encodeFrame(FrameKind.Withdrawn, 1));
+        await withdrawn;
+        socket.destroy();
+        await closed;
+        expect(offers.map(({ isWithdrawn }) => isWithdrawn)).toEqual([true, true]);
+    });
+});
