--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -47,7 +47,7 @@
         target: "node20",
         format: "cjs",
         alias: { rxjs: "./node_modules/rxjs/dist/esm/index.js" },
-        banner: { js: "(function (require) {" },
+        banner: { js: "(function (require, codeCacheProblem) {" },
         footer: { js: "})" },
         logLevel: "warning",
     });
--- a/scripts/launcher.cjs
+++ b/scripts/launcher.cjs
@@ -11,17 +11,17 @@
 
 function readCodeCache() {
     try {
-        return readFileSync(`${base}.cache`);
+        return { cachedData: readFileSync(`${base}.cache`), problem: undefined };
     }
     catch (error) {
-        process.stderr.write(`${base}: no code cache (${error.message}), compiling the bundle\n`);
-        return undefined;
+        return { cachedData: undefined, problem: `cannot be read: ${error.code}` };
     }
 }
 
-const cachedData = readCodeCache();
+const { cachedData, problem } = readCodeCache();
 const script = new Script(readFileSync(bundleFile, "utf8"), { filename: bundleFile, cachedData });
-if (script.cachedDataRejected) {
-    process.stderr.write(`${base}: the code cache is of another Node.js version or has other flags, compiling the bundle\n`);
-}
-script.runInThisContext()(require);
+// The bundle logs the problem as a structured line.
+script.runInThisContext()(
+    require,
+    script.cachedDataRejected ? "is of another Node.js version or has other flags" : problem,
+);
