Soak the real processes with faults from outside

Sidecars run as processes of their own; a seed gives the signals (stop, kill, pause, in series and overlapping), limits and departures of targets, faulty targets, a failing store and new configurations. Clients use open connections, some opened long before, until the process is gone. What clients and targets saw is checked: runs, refusals, whole responses, losses, limits, departures, crashes.

--- /dev/null
+++ b/bench/src/soak/main.ts
@@ -0,0 +1,40 @@
+/**
+ * Entry point of `npm run soak`: plays soak runs with consecutive seeds and prints the promises that were broken.
+ */
+import { runSoak, type SoakResult } from "@bilberrycroft/platform/soak";
+import { SoakArgumentsKind, type SoakArguments, parseSoakArguments } from "./arguments";
+
+enum ExitCode {
+    Done = 0,
+    Failed = 1,
+    Usage = 2,
+}
+
+async function run({ firstSeed, seeds, ...options }: SoakArguments): Promise<ExitCode> {
+    let brokenSeeds = 0;
+    for (let seed = firstSeed; seed < firstSeed + seeds; seed++) {
+        const result = await runSoak({ ...options, seed });
+        brokenSeeds += result.violations.length > 0 ? 1 : 0;
+        print(seed, result);
+    }
+    console.log(`${seeds} seeds, ${brokenSeeds} with broken promises`);
+    return brokenSeeds === 0 ? ExitCode.Done : ExitCode.Failed;
+}
+
+function print(seed: number, { requests, succeeded, faults, violations, logFolder }: SoakResult): void {
+    console.log(`seed ${seed}: ${requests} requests, ${succeeded} succeeded, ${faults} faults, `
+        + `${violations.length} broken promises${logFolder === undefined ? "" : `, logs in ${logFolder}`}`);
+    violations.forEach(({ promise, detail }) => console.log(`    ${promise}: ${detail}`));
+}
+
+const result = parseSoakArguments(process.argv);
+switch (result.kind) {
+    case SoakArgumentsKind.HelpPrinted:
+        break;
+    case SoakArgumentsKind.Invalid:
+        process.stderr.write(`soak: ${result.problem}\n`);
+        process.exitCode = ExitCode.Usage;
+        break;
+    case SoakArgumentsKind.Run:
+        process.exit(await run(result.settings));
+}
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -19,6 +19,7 @@
     "bench-worker": "bench/src/worker.ts",
     capacity: "bench/src/capacity/main.ts",
     cost: "bench/src/cost/main.ts",
+    soak: "bench/src/soak/main.ts",
 };
 
 /** Runs hundreds of times beside targets and has to start fast: it gets a code cache and a launcher that uses it. */
