Play loads in virtual time against the product's decisions: npm run experiment

The load model plays scenarios (YAML, checked with line and key) with the product's own directories, call plans, queues, budgets and limits in virtual time: services with slots and speeds, classes with inner calls that hold slots, callers that return, waves, and targets that are slow, limited or failing.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -20,6 +20,7 @@
     capacity: "bench/src/capacity/main.ts",
     cost: "bench/src/cost/main.ts",
     soak: "bench/src/soak/main.ts",
+    experiment: "bench/src/loadModel/main.ts",
 };
 
 /** Runs hundreds of times beside targets and has to start fast: it gets a code cache and a launcher that uses it. */
