--- a/bench/src/soak/main.ts
+++ b/bench/src/soak/main.ts
@@ -21,8 +21,10 @@
     return brokenSeeds === 0 ? ExitCode.Done : ExitCode.Failed;
 }
 
-function print(seed: number, { requests, succeeded, late, faults, violations, logFolder }: SoakResult): void {
-    console.log(`seed ${seed}: ${requests} requests, ${succeeded} succeeded, ${late} answered late, ${faults} faults, `
+function print(seed: number, { requests, outcomes, late, faults, starvedMs, violations, logFolder }: SoakResult): void {
+    const counts = Object.entries(outcomes).map(([outcome, count]) => `${outcome}: ${count}`).join(", ");
+    console.log(`seed ${seed}: ${requests} requests (${counts}), ${late} answered late, ${faults} faults, `
+        + `${starvedMs} ms without a processor, `
         + `${violations.length} broken promises${logFolder === undefined ? "" : `, logs in ${logFolder}`}`);
     violations.forEach(({ promise, detail }) => console.log(`    ${promise}: ${detail}`));
 }
