Stay joined when a join to another zone fails

A node that had joined and then asked a member of a newly found zone fell back to joining when that call failed or the member was busy: the failure of any join was taken for that of its own. isJoined() was false until the next candidates had been tried, and other nodes that joined through it meanwhile got a table marked as incomplete. A failure and a busy reply now count only while the node's own join waits for a reply. The test fails without the change.

--- a/coordination/membership/src/joining.ts
+++ b/coordination/membership/src/joining.ts
@@ -84,13 +84,18 @@
         this.state = JoinerState.Ready;
     }
 
-    /** Handles a failed join call. */
+    /** Handles a failed join call. Ignored unless this join waits for a reply: other zones are joined beside it. */
     handleFailure(): void {
-        this.state = JoinerState.Ready;
+        if (this.state === JoinerState.AwaitingReply) {
+            this.state = JoinerState.Ready;
+        }
     }
 
     /** Handles a reply from a member that exceeded its join rate. */
     handleBusy(other: string | undefined, retryAfterMs: Milliseconds): void {
+        if (this.state !== JoinerState.AwaitingReply) {
+            return;
+        }
         this.state = JoinerState.Ready;
         if (other !== undefined && other !== this.options.localAddress) {
             this.candidates.unshift(other);
--- a/coordination/membership/test/membership.test.ts
+++ b/coordination/membership/test/membership.test.ts
@@ -23,6 +23,8 @@
 /** More than the number of messages in which an entry is passed on. */
 const exchangesUntilForgotten = 50;
 const maxIdleExchangeBytes = 1_000;
+const tickMs = 100;
+const joinTimeoutMs = 10_000;
 const hourMs = 60 * 60 * 1_000;
 
 describe("membership", () => {
@@ -102,6 +104,57 @@
         });
     });
 
+    describe("a join to another zone, after the node has joined", () => {
+        const otherZone = { zone: "zone-1", controlAddress: "10.0.1.1:7000" };
+        let call: number;
+
+        beforeEach(() => {
+            receive([createEntry("peer")]);
+            run({ kind: MembershipInputKind.Start });
+            join();
+            const outputs = run({ kind: MembershipInputKind.ZonesDiscovered, members: [otherZone] });
+            ({ call } = outputs.find(output => output.kind === MembershipOutputKind.SendJoin) as JoinCall);
+        });
+
+        type JoinCall = Extract<MembershipOutput, { kind: MembershipOutputKind.SendJoin }>;
+
+        function join(): void {
+            const table = {
+                from: createEntry("peer"),
+                head: { version: 0, digest: "" },
+                entries: [],
+                ended: [],
+                remembered: [],
+                rememberedVersion: 0,
+                complete: true,
+            };
+            const reply = { kind: JoinReplyKind.Joined, table } as const;
+            const members = [{ zone: "zone-0", controlAddress: "10.0.0.2:1" }];
+            for (let elapsed = 0; elapsed < joinTimeoutMs && !membership.isJoined(); elapsed += tickMs) {
+                clock.advance(tickMs);
+                for (const output of run({ kind: MembershipInputKind.Tick })) {
+                    if (output.kind === MembershipOutputKind.ReadRoster) {
+                        run({ kind: MembershipInputKind.RosterRead, members });
+                    }
+                    else if (output.kind === MembershipOutputKind.SendJoin) {
+                        run({ kind: MembershipInputKind.JoinReplied, call: output.call, reply });
+                    }
+                }
+            }
+        }
+
+        it("leaves the node joined if it fails, and if the other node is busy", () => {
+            expect(membership.isJoined()).toBe(true);
+            run({ kind: MembershipInputKind.JoinFailed, call });
+            expect(membership.isJoined()).toBe(true);
+            const outputs = run({ kind: MembershipInputKind.ZonesDiscovered, members: [otherZone] });
+            ({ call } = outputs.find(output => output.kind === MembershipOutputKind.SendJoin) as JoinCall);
+            const reply = { kind: JoinReplyKind.Busy, other: undefined, retryAfterMs: 100 } as const;
+            run({ kind: MembershipInputKind.JoinReplied, call, reply });
+            expect(membership.isJoined()).toBe(true);
+        });
+    });
+
     describe("merge", () => {
         it("keeps the higher revision in any order of arrival, so that delayed messages change nothing", () => {
             receive([createEntry("n", { revision: 5, version: 2 })]);
