Forget the run times and calls of services that are gone

A node kept the occupancy and the mean run times of each service that ever had a target, so renamed services used memory until it ended. They are forgotten when the table holds no target of the service and no call of it runs. The test fails without the change (40 instead of 0). Not part of the sidecar. Router.distances stays: it has one number a zone.

--- a/coordination/admission/src/capacity.ts
+++ b/coordination/admission/src/capacity.ts
@@ -34,12 +34,16 @@
     private readonly targets = new Map<string, TargetCapacity>();
     private readonly services = new Map<string, Occupancy>();
     private readonly node: Occupancy = { total: 0, long: 0 };
-    private readonly runTimes = new Map<string, Milliseconds>();
+    private readonly runTimes = new Map<string, Record<RunTimeClass, Milliseconds | undefined>>();
 
     constructor(private readonly options: CapacityOptions) {}
 
-    /** Replaces the targets of all services. A removed target is kept while calls are in flight on it. */
+    /**
+     * Replaces the targets of all services. A removed target is kept while calls are in flight on it, and what is known
+     * of a service while it has a target or a call.
+     */
     setTargets(targets: readonly RoutingTarget[]): void {
+        this.forgetServices(new Set(targets.map(target => target.service)));
         const present = new Set(targets.map(target => target.id));
         for (const [id, { occupancy }] of this.targets) {
             if (!present.has(id) && occupancy.total === 0) {
@@ -107,17 +111,29 @@
 
     /** Updates the EWMA of run times of the service and class. */
     recordRunTime(service: string, runTimeClass: RunTimeClass, runTimeMs: Milliseconds): void {
-        const key = `${service} ${runTimeClass}`;
-        const average = this.runTimes.get(key) ?? runTimeMs;
-        this.runTimes.set(key, average + runTimeEwmaWeight * (runTimeMs - average));
+        const averages = this.runTimes.get(service)
+            ?? { [RunTimeClass.Short]: undefined, [RunTimeClass.Long]: undefined };
+        this.runTimes.set(service, averages);
+        const average = averages[runTimeClass] ?? runTimeMs;
+        averages[runTimeClass] = average + runTimeEwmaWeight * (runTimeMs - average);
     }
 
     /** Estimated mean time between two releases of a slot by calls of the class while all slots are in use. */
     releaseIntervalMs(service: string, runTimeClass: RunTimeClass): Milliseconds {
-        const runTimeMs = this.runTimes.get(`${service} ${runTimeClass}`) ?? 0;
+        const runTimeMs = this.runTimes.get(service)?.[runTimeClass] ?? 0;
         return runTimeMs / Math.max(1, this.callsInFlightOf(service, runTimeClass));
     }
 
+    private forgetServices(present: ReadonlySet<string>): void {
+        for (const service of new Set([...this.services.keys(), ...this.runTimes.keys()])) {
+            const hasCalls = (this.services.get(service)?.total ?? 0) > 0;
+            if (!present.has(service) && !hasCalls) {
+                this.services.delete(service);
+                this.runTimes.delete(service);
+            }
+        }
+    }
+
     private adjustOccupancy(target: RoutingTarget, runTimeClass: RunTimeClass, change: 1 | -1): void {
         const service = this.services.get(target.service) ?? { total: 0, long: 0 };
         this.services.set(target.service, service);
--- a/coordination/admission/test/capacity.test.ts
+++ b/coordination/admission/test/capacity.test.ts
@@ -50,6 +50,27 @@
         });
     });
 
+    describe("services", () => {
+        const capacity = new Capacity({ clock: new ManualClock(), nodeConcurrency: 100 });
+        const runTimeMs = 40;
+        const removed = "removed-service";
+
+        it("are forgotten with their last target and call, so that renamed services do not use memory for ever", () => {
+            for (const service of [target.service, removed]) {
+                capacity.recordRunTime(service, RunTimeClass.Short, runTimeMs);
+            }
+            const removedTarget = { ...target, id: "t1", service: removed };
+            capacity.setTargets([target, removedTarget]);
+            capacity.recordAttemptStart(removedTarget, RunTimeClass.Short);
+            capacity.setTargets([target]);
+            expect(capacity.releaseIntervalMs(removed, RunTimeClass.Short)).toBe(runTimeMs);
+            capacity.recordAttemptEnd(removedTarget, RunTimeClass.Short);
+            capacity.setTargets([target]);
+            expect(capacity.releaseIntervalMs(removed, RunTimeClass.Short)).toBe(0);
+            expect(capacity.releaseIntervalMs(target.service, RunTimeClass.Short)).toBe(runTimeMs);
+        });
+    });
+
     describe("ramp", () => {
         it("admits one call at a time to a cold target at the start of its ramp", () => {
             const capacity = new Capacity({ clock: new ManualClock(), nodeConcurrency: 100 });
