--- a/coordination/admission/test/dispatcher.test.ts
+++ b/coordination/admission/test/dispatcher.test.ts
@@ -28,6 +28,10 @@
 const history: RouteRule = { ...lookup, name: "history", runTimeClass: RunTimeClass.Long };
 const tenant = { name: "farm", weight: 1, ratePerSecond: undefined };
 
+const slots = 6;
+/** Lower limit of the time that is told to callers. */
+const minRetryAfterMs = 50;
+
 let clock: ManualClock;
 let dispatcher: Dispatcher;
 let nextCallNumber: number;
@@ -37,12 +41,12 @@
     return { id, service: "readings", address: id, zone: "a", state, slots, connections: 100, reachable: true };
 }
 
-function setUp(...slots: number[]): void {
+function setUp(...slotCounts: number[]): void {
     clock = new ManualClock();
     nextCallNumber = 0;
     const random = createSeededRandom(1);
     dispatcher = new Dispatcher({ clock, random, router: new Router({ clock, random, zone: "a" }) });
-    dispatcher.setTargets(slots.map((count, index) => createTarget(`t${index}`, count)));
+    dispatcher.setTargets(slotCounts.map((count, index) => createTarget(`t${index}`, count)));
 }
 
 function submit(changes: Partial<SubmittedCall> = {}): SubmitDecision {
@@ -81,7 +85,7 @@
 }
 
 describe("dispatcher", () => {
-    beforeEach(() => setUp(6));
+    beforeEach(() => setUp(slots));
 
     describe("slots", () => {
         it("starts no more calls than the target has slots, so that none queues inside the target", () => {
@@ -164,6 +168,20 @@
             expect(refused).toMatchObject({ kind: DispatchKind.Refused, reason: CallReason.Overloaded });
         });
 
+        it("tells a call that a full queue refuses to return after one to two times what the queue takes to drain", () => {
+            const runTimeMs = 40;
+            runSequentially(lookup, runTimeMs, 50);
+            times(30, () => submit());
+            const queued = dispatcher.queuedCalls;
+            const refused = submit();
+            expect(refused).toMatchObject({ kind: DispatchKind.Refused, reason: CallReason.Overloaded });
+            const drainMs = (queued + 1) * runTimeMs / slots;
+            expect(drainMs).toBeGreaterThan(minRetryAfterMs);
+            const { retryAfterMs } = refused as Extract<SubmitDecision, { kind: DispatchKind.Refused }>;
+            expect(retryAfterMs).toBeGreaterThanOrEqual(drainMs);
+            expect(retryAfterMs).toBeLessThanOrEqual(Math.ceil(2 * drainMs));
+        });
+
         it("refuses a queued call at the first tick after its maximum wait, even behind a newer call", () => {
             times(7, () => submit());
             clock.advance(80);
