--- a/cli/operator/src/formatting.ts
+++ b/cli/operator/src/formatting.ts
@@ -10,6 +10,8 @@
 
 /** Largest time value of an ECMAScript `Date`. */
 const maxDateMs = 8.64e15;
+/** Nodes of one zone in the same state that are listed by name. */
+const maxListedNodes = 10;
 const displayedDigestLength = 12;
 
 const changeSigns: Readonly<Record<RuleChangeKind, string>> = {
@@ -76,7 +78,6 @@
 export function formatStatus(view: StatusView): readonly string[] {
     const { accepted, acceptedFromStore, inForceCount, heardCount, unknownCount } = view;
     const source = acceptedFromStore ? "accepted" : "highest version reported by nodes (the store was not read)";
-    const nodes = view.nodes.filter(node => node.standing !== VersionState.InForce);
     return [
         accepted === undefined
             ? "No accepted version is known."
@@ -84,13 +85,54 @@
         heardCount === 0
             ? "The state of every node is unknown."
             : `In force on ${inForceCount} of ${heardCount} nodes with known state; ${unknownCount} unknown`,
-        ...nodes.map(formatNodeStatus),
+        ...formatZones(view.nodes),
+        ...formatDeviatingNodes(view.nodes),
         ...view.unknownZones.map(zone => `Zone ${zone}: unknown, none of its nodes is reachable`),
         ...view.dead.map(node => `Node ${node}: marked as dead and not replaced`),
         ...view.unanswered.map(({ address, reason }) => `No response from ${address}: ${reason}`),
     ];
 }
 
+/** One line for each zone, unless there is only one. */
+function formatZones(nodes: readonly NodeStatus[]): readonly string[] {
+    const zones = groupBy(nodes, ({ zone }) => zone);
+    if (zones.size < 2) {
+        return [];
+    }
+    return [...zones].map(([zone, members]) => {
+        const states = groupBy(members, ({ standing }) => standing);
+        const inForceCount = states.get(VersionState.InForce)?.length ?? 0;
+        const others = [...states]
+            .filter(([standing]) => standing !== VersionState.InForce)
+            .map(([standing, { length }]) => `, ${length} ${standing}`);
+        return `Zone ${zone}: ${inForceCount} of ${members.length} nodes in force${others.join("")}`;
+    });
+}
+
+/** The nodes without the accepted version, with a count instead of names where a zone has many in the same state. */
+function formatDeviatingNodes(nodes: readonly NodeStatus[]): readonly string[] {
+    const deviating = nodes.filter(({ standing }) => standing !== VersionState.InForce);
+    const groups = groupBy(deviating, ({ zone, standing }) => `${zone}: ${standing}`);
+    return [...groups].flatMap(([group, members]) => {
+        const unlistedCount = members.length - maxListedNodes;
+        return [
+            ...members.slice(0, maxListedNodes).map(formatNodeStatus),
+            ...unlistedCount > 0 ? [`${unlistedCount} more nodes in zone ${group}; "nodes" lists all`] : [],
+        ];
+    });
+}
+
+function groupBy<Item, Key>(items: readonly Item[], getKey: (item: Item) => Key): Map<Key, Item[]> {
+    const groups = new Map<Key, Item[]>();
+    for (const item of items) {
+        const key = getKey(item);
+        const group = groups.get(key) ?? [];
+        groups.set(key, group);
+        group.push(item);
+    }
+    return groups;
+}
+
 export function formatNodeStatus(node: NodeStatus): string {
     const { standing, version, refusal, unknownReason } = node;
     const label = `${node.node} (${node.zone})`;
--- a/cli/operator/test/status.test.ts
+++ b/cli/operator/test/status.test.ts
@@ -124,6 +124,26 @@
         expect(text).toContain("No response from e:1: refused");
     });
 
+    describe("of a fleet of hundreds of nodes", () => {
+        const zones = ["east", "north", "west"];
+        const nodesPerZone = 60;
+        const members = zones.flatMap(zone => Array.from({ length: nodesPerZone }, (_, index) => {
+            const state = zone === "north" && index < 30 ? old : {};
+            return member(`${zone}-${index}`, { zone, ...state }, zone === "west");
+        }));
+        const lines = formatStatus(computeStatus({ accepted: acceptedHead, responses: [response("east-0", members)] }));
+
+        it("is summed up by zone in the text, and names at most ten nodes of a zone in the same state", () => {
+            expect(lines).toContain("Zone east: 60 of 60 nodes in force");
+            expect(lines).toContain("Zone north: 30 of 60 nodes in force, 30 behind");
+            expect(lines).toContain("Zone west: 0 of 60 nodes in force, 60 unknown");
+            expect(lines.filter(line => /^north-\d+ \(north\): behind/.test(line))).toHaveLength(10);
+            expect(lines).toContain("20 more nodes in zone north: behind; \"nodes\" lists all");
+            expect(lines).toContain("50 more nodes in zone west: unknown; \"nodes\" lists all");
+            expect(lines.length).toBeLessThan(40);
+        });
+    });
+
     it("reports the source of the accepted version if the store was not read", () => {
         const heardHead = { version: 9, digest: "d9" };
         const view = computeStatus({ accepted: undefined, responses: [response("a", [], { heardHead })] });
