--- a/coordination/admission/src/admission.ts
+++ b/coordination/admission/src/admission.ts
@@ -75,7 +75,6 @@
         const now = this.options.clock.now();
         const queue = this.queueOf(pending);
         const { deadlineAt } = pending.call;
-        pending.queuedAt = now;
         pending.latestStartAt = Math.min(deadlineAt - pending.expectedRunTimeMs, now + maxWaitMs[pending.runTimeClass]);
         if (now + this.expectedWaitMs(pending, queue) >= pending.latestStartAt) {
             return this.refuse(pending, CallReason.Overloaded, this.retryAfterMs(pending));
@@ -149,7 +148,6 @@
             // Inner calls go first within their priority: refusing one wastes the work of its outer calls.
             rank: call.route.priority * 2 + (call.depth > 0 ? 1 : 0),
             latestStartAt: call.deadlineAt,
-            queuedAt: this.options.clock.now(),
         };
     }
 
--- a/coordination/admission/src/types.ts
+++ b/coordination/admission/src/types.ts
@@ -36,7 +36,6 @@
     readonly rank: number;
     /** Set when the call is queued. A call that has not started by then is refused. */
     latestStartAt: Milliseconds;
-    queuedAt: Milliseconds;
 }
 
 export enum DispatchKind {
--- a/coordination/membership/src/membership.ts
+++ b/coordination/membership/src/membership.ts
@@ -107,11 +107,6 @@
         return this.parts.table.hosts.versionOf(host);
     }
 
-    /** Random live peers of this zone and of other zones. */
-    selectPeers(zonePeerCount: number, otherZonePeerCount: number): readonly Entry[] {
-        return this.parts.gossipRounds.selectEagerPeers(zonePeerCount, otherZonePeerCount);
-    }
-
     /** Whether the node has started and finished joining. */
     isJoined(): boolean {
         return this.isStarted && !this.parts.joiner.isActive();
--- a/daemons/node/src/calls/callExecution.ts
+++ b/daemons/node/src/calls/callExecution.ts
@@ -253,8 +253,8 @@
         this.isStreaming = true;
         this.abandonAttempts(AttemptResultKind.Cancelled, inFlight);
         this.response.writeHead(head.status, createResponseHeaders(head.headers, this.call.version));
-        const { complete } = await streamResponse(head.response, this.response);
-        this.endAttempt(inFlight, complete
+        const isComplete = await streamResponse(head.response, this.response);
+        this.endAttempt(inFlight, isComplete
             ? { kind: AttemptResultKind.Done, status: head.status }
             : { kind: inFlight.abandonedAs ?? AttemptResultKind.Broken }, head);
     }
