--- a/review/build.sh
+++ b/review/build.sh
@@ -2,10 +2,10 @@
 # Builds the programs of the cases, with the stand-ins that they start, into review/dist.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-for entry in review/[1-5]/*.mjs; do
-    name="case-$(basename "$(dirname "$entry")")"
-    program="$(basename "$entry" .mjs)"
-    [ "$program" = case ] || name="$name-$program"
-    npx --no-install esbuild "$entry" --bundle --platform=node --target=node20 --format=esm --log-level=warning \
-        --outfile="review/dist/$name.mjs"
+build() {
+    npx --no-install esbuild "$1" --bundle --platform=node --target=node20 --format=esm --log-level=warning --outfile="$2"
+}
+build review/lib/flood.mjs review/dist/flood.mjs
+for entry in review/[1-5]/case.mjs; do
+    build "$entry" "review/dist/case-$(basename "$(dirname "$entry")").mjs"
 done
