--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,46 +1,64 @@
 /**
- * Another writer leaves an entry in the store whose address cannot be an address. Every sidecar must ignore it.
+ * A faulty endpoint spoils a small part of its answers: a header line has a space before its colon. The sidecars must
+ * outlive such an answer.
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { createConfiguration, createRoute, runCase } from "../lib/mesh.mjs";
 
-/** Its last part is no port. */
-const unreadableAddress = "127.9.9.9:99999";
+const playedMs = 30_000;
+const intervalMs = 40;
+/** A third of the endpoints, and a small part of their answers; the site names 0.35 and 0.02. */
+const faultyEndpoints = new Set(["i-1", "i-2"]);
+const spoiledShare = 0.02;
 const maxEnds = 3;
-const services = ["readings", "alarms"];
+
+const services = ["archive", "fans"];
 const routes = [
-    createRoute({ prefix: "/read/", type: "idempotent", service: "readings" }),
-    createRoute({ prefix: "/alarm/", type: "non_idempotent", service: "alarms" }),
+    createRoute({ prefix: "/archive/", type: "idempotent", service: "archive" }),
+    createRoute({ prefix: "/fans/", type: "idempotent", service: "fans" }),
 ];
 
+/** Writes an answer that is none in the protocol, as the complete rest of the connection. */
+function respondSpoiled(response, id, endpoint) {
+    response.socket.end(`HTTP/1.1 200 OK\r\nx-attempt-id: ${id}\r\nx-response-signature: signed.${endpoint.id}\r\n`
+        + "x-cache : hit\r\ncontent-length: 2\r\n\r\nok");
+}
+
 void runCase(async (mesh, hasTrouble) => {
     await mesh.start(createConfiguration({ version: "r1", routes, services }));
-    const handle = ({ id }, response, endpoint) => setTimeout(() => endpoint.respond(response, id), 20);
-    for (const [index, service] of ["readings", "alarms", "readings", "alarms", "readings", "alarms"].entries()) {
-        await mesh.addMachine({ service, zone: `z${1 + index % 3}`, handle });
+    let spoiled = 0;
+    let answersOfFaulty = 0;
+    const handle = ({ id }, response, endpoint) => setTimeout(() => {
+        const isFaulty = hasTrouble && faultyEndpoints.has(endpoint.id);
+        answersOfFaulty += isFaulty ? 1 : 0;
+        if (isFaulty && spoiled < spoiledShare * answersOfFaulty) {
+            spoiled++;
+            mesh.record("spoiled", { id });
+            respondSpoiled(response, id, endpoint);
+        }
+        else {
+            endpoint.respond(response, id);
+        }
+    }, 20);
+    for (const service of ["archive", "archive", "fans", "fans", "fans", "fans"]) {
+        await mesh.addMachine({ service, handle });
     }
     await mesh.settle();
-    if (hasTrouble) {
-        const [{ name }] = mesh.machines;
-        const stored = mesh.store.get("bilberrycroft-nodes", name).Spec;
-        const target = { ...stored.target, id: "i-other", service: "unheard-of" };
-        mesh.store.put("bilberrycroft-nodes", "other-writer", { ...stored, node: "other-writer", address: unreadableAddress, target });
-        mesh.machines.forEach(machine => machine.keepRunning());
-        mesh.record("entry-of-another-writer", mesh.store.get("bilberrycroft-nodes", "other-writer").Spec);
-    }
-    let count = 0;
-    const results = {};
-    const endsAt = performance.now() + 10_000;
-    while (performance.now() < endsAt) {
-        await Promise.all(mesh.machines.map(async machine => {
-            const { status } = await mesh.send(machine, { id: `c${++count}`, path: "/read/1" });
-            results[status] = (results[status] ?? 0) + 1;
-        }));
-        await sleep(50);
+    mesh.machines.forEach(machine => machine.keepRunning());
+    const sent = [];
+    const endsAt = performance.now() + playedMs;
+    for (let number = 1; performance.now() < endsAt; number++) {
+        for (const machine of mesh.machines.slice(2)) {
+            sent.push(mesh.send(machine, { id: `${machine.name}-${number}`, path: `/archive/${number}` }));
+        }
+        await sleep(intervalMs);
     }
+    const answers = await Promise.all(sent);
     const ends = mesh.machines.map(({ name, ends: list }) =>
         ({ name, ends: list.filter(({ isTold }) => !isTold).length }));
     ends.forEach(end => mesh.record("ended-by-itself", end));
     const failing = ends.filter(end => end.ends >= maxEnds).length;
-    return { broken: failing >= Math.max(2, mesh.machines.length / 10), results, ends };
+    const unanswered = answers.filter(({ status }) => status === 0).length;
+    const broken = failing >= Math.max(2, mesh.machines.length / 10);
+    return { broken, ends, spoiled, answersOfFaulty, requests: answers.length, unanswered };
 });
--- a/review/build.sh
+++ b/review/build.sh
@@ -6,6 +6,6 @@
     npx --no-install esbuild "$1" --bundle --platform=node --target=node20 --format=esm --log-level=warning --outfile="$2"
 }
 build review/lib/flood.mjs review/dist/flood.mjs
-for entry in review/[1-5]/case.mjs; do
+for entry in review/[1-9]/case.mjs; do
     build "$entry" "review/dist/case-$(basename "$(dirname "$entry")").mjs"
 done
