--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,56 +1,59 @@
 /**
- * A request crashes each endpoint that begins to run it, after the endpoint has begun to answer. It comes again, at
- * another machine each time. The sidecars must stop passing it on once it has crashed three endpoints.
+ * A machine freezes while the endpoint beside it sends large answers. The other machine must still end the requests at
+ * the timeout of their route.
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import { bounds, createConfiguration, createRoute, runCase } from "../lib/mesh.mjs";
+import { createConfiguration, createRoute, runCase } from "../lib/mesh.mjs";
 
-const services = ["archive"];
+const timeoutMs = 2_000;
+const deadlineMs = 8_000;
+const latenessMs = 500;
+const requests = 12;
+const freezeMs = 4_000;
+/** An answer is sent in two parts, with a pause between them. */
+const firstPart = "a".repeat(1_300_000);
+const secondPart = "z".repeat(300_000);
+const pauseMs = 800;
+const freezeAfterMs = 400;
+const minUnanswered = 8;
+
+const services = ["archive", "fans"];
 const routes = [
-    createRoute({ prefix: "/archive/", type: "idempotent", service: "archive", attempts: 2 }),
+    createRoute({ prefix: "/archive/", type: "download", service: "archive", timeoutS: timeoutMs / 1_000 }),
+    createRoute({ prefix: "/fans/", type: "idempotent", service: "fans" }),
 ];
-const poison = "/archive/year-1999";
-const machines = 6;
-const rounds = 15;
-const intervalMs = 2_500;
-const downMs = 2_000;
-const maxLateRetries = 3;
 
 void runCase(async (mesh, hasTrouble) => {
     await mesh.start(createConfiguration({ version: "r1", routes, services }));
-    const arrivals = [];
-    const crashes = [];
-    const handle = ({ id, request }, response, endpoint) => {
-        if (!hasTrouble || request.url !== poison) {
-            setTimeout(() => endpoint.respond(response, id), 30);
-            return;
-        }
-        arrivals.push(performance.now());
-        response.writeHead(200, { "x-attempt-id": id, "x-response-signature": `signed.${endpoint.id}` });
-        response.write("January;");
-        setTimeout(async () => {
-            crashes.push(performance.now());
-            mesh.record("crashed", { endpoint: endpoint.id, id });
-            await endpoint.crash();
-            await sleep(downMs);
-            endpoint.id = `${endpoint.id}-again`;
-            await endpoint.start();
-            await endpoint.sendHeartbeat();
-        }, 30);
+    const handle = ({ id }, response, endpoint) => {
+        response.writeHead(200, {
+            "x-attempt-id": id,
+            "x-response-signature": `signed.${endpoint.id}`,
+            "content-length": firstPart.length + secondPart.length,
+        });
+        response.write(firstPart);
+        setTimeout(() => response.end(secondPart), pauseMs);
     };
-    for (let number = 0; number < machines; number++) {
-        await mesh.addMachine({ service: "archive", zone: `z${1 + number % 3}`, handle });
-    }
+    const client = await mesh.addMachine({ service: "fans", handle });
+    const frozen = await mesh.addMachine({ service: "archive", handle });
     await mesh.settle();
-    const statuses = [];
-    for (let round = 0; round < rounds; round++) {
-        const machine = mesh.machines[round % machines];
-        const { status } = await mesh.send(machine, { id: `poison-${round}`, path: poison });
-        statuses.push(status);
-        await mesh.send(mesh.machines[(round + 1) % machines], { id: `sound-${round}`, path: `/archive/${round}` });
-        await sleep(intervalMs);
+    const sent = [];
+    for (let number = 1; number <= requests; number++) {
+        sent.push(mesh.send(client, { id: `archive-${number}`, path: `/archive/${number}`, deadlineMs, patienceMs: deadlineMs }));
+    }
+    await sleep(freezeAfterMs);
+    if (hasTrouble) {
+        frozen.signal("SIGSTOP");
+        mesh.record("frozen", { machine: frozen.name });
+        setTimeout(() => {
+            frozen.signal("SIGCONT");
+            mesh.record("woken", { machine: frozen.name });
+        }, freezeMs);
     }
-    const third = [...crashes].sort((left, right) => left - right)[2] ?? Number.POSITIVE_INFINITY;
-    const lateRetries = arrivals.filter(at => at > third + bounds.contactMs).length;
-    return { broken: lateRetries > maxLateRetries, arrivals: arrivals.length, lateRetries, statuses: statuses.join(" ") };
+    const answers = await Promise.all(sent);
+    const lasting = answers.filter(({ elapsedMs }) => elapsedMs > timeoutMs);
+    const late = lasting.filter(({ elapsedMs }) => elapsedMs > timeoutMs + latenessMs);
+    const broken = late.length >= minUnanswered && late.length > lasting.length / 4;
+    const endedAfterMs = answers.map(({ elapsedMs }) => Math.round(elapsedMs)).join(" ");
+    return { broken, unansweredAtTimeout: lasting.length, halfASecondLater: late.length, endedAfterMs };
 });
