--- a/review/lib/quota.mjs
+++ b/review/lib/quota.mjs
@@ -7,6 +7,10 @@
 const periodMs = 100;
 const checkIntervalMs = 4;
 const nanosecondsPerMillisecond = 1e6;
+const millisecondsPerTick = 10;
+/** Positions after the name of the program. */
+const userTimeField = 11;
+const systemTimeField = 12;
 
 /** Processor time that the process has used. */
 function readUsedMs(pid) {
@@ -14,7 +18,17 @@
         return Number(readFileSync(`/proc/${pid}/schedstat`, "utf8").split(" ")[0]) / nanosecondsPerMillisecond;
     }
     catch {
-        // The process has ended.
+        return readUsedTicks(pid) * millisecondsPerTick;
+    }
+}
+
+/** The same in ticks, for kernels without the finer figure; 0 after the end of the process. */
+function readUsedTicks(pid) {
+    try {
+        const fields = readFileSync(`/proc/${pid}/stat`, "utf8").split(") ")[1].split(" ");
+        return Number(fields[userTimeField]) + Number(fields[systemTimeField]);
+    }
+    catch {
         return 0;
     }
 }
