--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -5,8 +5,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { createConfiguration, createRoute, runCase } from "../lib/mesh.mjs";
 
-const timeoutMs = 2_000;
-const deadlineMs = 8_000;
+const timeoutMs = 1_500;
+const deadlineMs = 4_000;
 const latenessMs = 500;
 const requests = 12;
 const freezeMs = 4_000;
@@ -55,5 +55,6 @@
     const late = lasting.filter(({ elapsedMs }) => elapsedMs > timeoutMs + latenessMs);
     const broken = late.length >= minUnanswered && late.length > lasting.length / 4;
     const endedAfterMs = answers.map(({ elapsedMs }) => Math.round(elapsedMs)).join(" ");
-    return { broken, unansweredAtTimeout: lasting.length, halfASecondLater: late.length, endedAfterMs };
+    const neverAnswered = answers.filter(({ status }) => status === 0).length;
+    return { broken, unansweredAtTimeout: lasting.length, halfASecondLater: late.length, neverAnswered, endedAfterMs };
 });
