--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -5,7 +5,10 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { createConfiguration, createRoute, runCase } from "../lib/mesh.mjs";
 
-const playedMs = 30_000;
+/** The disruption comes in spells; the site names 5.5 s for one. */
+const spellMs = 5_500;
+const pauseMs = 2_500;
+const spells = 4;
 const intervalMs = 40;
 /** A third of the endpoints, and a small part of their answers; the site names 0.35 and 0.02. */
 const faultyEndpoints = new Set(["i-1", "i-2"]);
@@ -27,9 +30,11 @@
 void runCase(async (mesh, hasTrouble) => {
     await mesh.start(createConfiguration({ version: "r1", routes, services }));
     let spoiled = 0;
+    let startedAt = Number.POSITIVE_INFINITY;
+    const isInSpell = () => (performance.now() - startedAt) % (spellMs + pauseMs) < spellMs;
     let answersOfFaulty = 0;
     const handle = ({ id }, response, endpoint) => setTimeout(() => {
-        const isFaulty = hasTrouble && faultyEndpoints.has(endpoint.id);
+        const isFaulty = hasTrouble && faultyEndpoints.has(endpoint.id) && isInSpell();
         answersOfFaulty += isFaulty ? 1 : 0;
         if (isFaulty && spoiled < spoiledShare * answersOfFaulty) {
             spoiled++;
@@ -46,7 +51,8 @@
     await mesh.settle();
     mesh.machines.forEach(machine => machine.keepRunning());
     const sent = [];
-    const endsAt = performance.now() + playedMs;
+    startedAt = performance.now();
+    const endsAt = startedAt + spells * (spellMs + pauseMs);
     for (let number = 1; performance.now() < endsAt; number++) {
         for (const machine of mesh.machines.slice(2)) {
             sent.push(mesh.send(machine, { id: `${machine.name}-${number}`, path: `/archive/${number}` }));
