Refuse header fields that Node parses but does not send

Cause: headers were forwarded as parsed. Node's parser accepts a name with a space or without any character, writeHead and request throw on them, and nothing catches that in the handler of a frame.

Evidence: the last line of every ended process is 'failed' with ERR_INVALID_HTTP_TOKEN in IncomingResponse.deliver. Ruled out: the node beside the target (it never ended) and frames that cannot be decoded (they close a connection).

Change: one definition of a valid header in protocol/calls, checked where bytes come in: responses of targets (like other bytes that are no response), requests of callers (400), heads in frames of other nodes (with status, method and path). A malformed response head of another node ends its call alone. The log names the header.

--- a/daemons/node/test/malformed.test.ts
+++ b/daemons/node/test/malformed.test.ts
@@ -66,6 +66,8 @@
             { name: "header over 16 KiB", text: `${head}x: ${"x".repeat(20_000)}\r\n\r\n` },
             { name: "header without colon", text: `${head}broken\r\n\r\n` },
             { name: "header with control character", text: `${head}x: a\u007fb\r\n\r\n` },
+            { name: "header name with a space", text: `${head}x-cache : 1\r\n\r\n` },
+            { name: "header without a name", text: `${head}: 1\r\n\r\n` },
             { name: "content-length with chunked encoding", text: `${head}content-length: 1\r\ntransfer-encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n` },
             { name: "duplicate content-length", text: `${head}content-length: 1\r\ncontent-length: 2\r\n\r\nab` },
             { name: "invalid content-length", text: `${head}content-length: -1\r\n\r\n` },
--- a/protocol/forwarding/src/messages.ts
+++ b/protocol/forwarding/src/messages.ts
@@ -7,7 +7,7 @@
  */
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import { isNumber, isRecord, isText, parseJson, type UncheckedFields } from "@bilberrycroft/core.json";
-import { CallReason } from "@bilberrycroft/protocol.calls";
+import { CallReason, describeInvalidHeader, isHeaderName } from "@bilberrycroft/protocol.calls";
 import { parseTargetLoad, type TargetLoad } from "./targetLoad";
 
 /** Headers of a forwarded request or response. */
@@ -89,17 +89,23 @@
     readonly report: NodeReport;
 }
 
+const minFinalStatus = 200;
+const maxStatus = 999;
+/** Characters that a request target may contain when it is sent. */
+const pathPattern = /^[\x21-\xff]+$/;
+
 /** Parses an offer; `undefined` if a required field is missing or has the wrong type. */
 export function parseOfferMessage(payload: Buffer): OfferMessage | undefined {
     const fields = parseFields(payload);
     const offer = parseOffer(fields?.offer);
     const state = parseStateVersions(fields?.state);
     const headers = parseHeaders(fields?.headers);
+    const { method, path } = fields ?? {};
     if (offer === undefined || state === undefined || headers === undefined
-        || !isText(fields?.method) || !isText(fields.path)) {
+        || !isText(method) || !isHeaderName(method) || !isText(path) || !pathPattern.test(path)) {
         return undefined;
     }
-    return { offer, method: fields.method, path: fields.path, headers, state };
+    return { offer, method, path, headers, state };
 }
 
 export function parseRefusal(payload: Buffer): Refusal | undefined {
@@ -122,9 +128,14 @@
     const fields = parseFields(payload);
     const report = parseReport(fields?.report);
     const headers = parseHeaders(fields?.headers);
-    return report === undefined || headers === undefined || !isNumber(fields?.status)
+    const status = fields?.status;
+    return report === undefined || headers === undefined || !isFinalStatus(status)
         ? undefined
-        : { status: fields.status, headers, report };
+        : { status, headers, report };
+}
+
+function isFinalStatus(value: unknown): value is number {
+    return Number.isInteger(value) && value as number >= minFinalStatus && value as number <= maxStatus;
 }
 
 /** Parses the payload of a report frame. */
@@ -181,7 +192,15 @@
 }
 
 function parseHeaders(value: unknown): ForwardedHeaders | undefined {
-    return isRecord(value) ? value as ForwardedHeaders : undefined;
+    if (!isRecord(value) || !Object.values(value).every(isHeaderContent)) {
+        return undefined;
+    }
+    const headers = value as ForwardedHeaders;
+    return describeInvalidHeader(headers) === undefined ? headers : undefined;
+}
+
+function isHeaderContent(value: unknown): value is string | string[] {
+    return typeof value === "string" || (Array.isArray(value) && value.every(item => typeof item === "string"));
 }
 
 const callReasons: ReadonlySet<unknown> = new Set(Object.values(CallReason));
--- a/transport/calls/src/listener.ts
+++ b/transport/calls/src/listener.ts
@@ -5,10 +5,12 @@
 import { type AddressInfo, Server as NetServer } from "node:net";
 import type { Duplex } from "node:stream";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
+import { describeInvalidHeader } from "@bilberrycroft/protocol.calls";
 
 const headersTimeoutMs: Milliseconds = 10_000;
 const defaultIdleTimeoutMs: Milliseconds = 30_000;
 const defaultMaxHeaderBytes = 16_384;
+const badRequestStatus = 400;
 
 export interface ListenerOptions {
     /** IP address to bind to. */
@@ -52,6 +54,11 @@
         }
         response.on("error", () => undefined);
         openResponses.add(request.socket, response);
+        if (describeInvalidHeader(request.headers) !== undefined) {
+            response.writeHead(badRequestStatus, { connection: "close", "x-mesh-outcome": "not-run" });
+            response.end();
+            return;
+        }
         options.handle(request, response);
     });
     server.maxConnections = options.maxConnections;
--- a/transport/calls/src/targetClient.ts
+++ b/transport/calls/src/targetClient.ts
@@ -6,6 +6,7 @@
  */
 import { Agent, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage, request, type RequestOptions } from "node:http";
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
+import { describeInvalidHeader } from "@bilberrycroft/protocol.calls";
 import { splitAddress } from "./addresses";
 
 const idleConnectionMs: Milliseconds = 20_000;
@@ -17,7 +18,7 @@
     Responded = "responded",
     /** The connection could not be established, so no byte was sent. */
     ConnectFailed = "connect failed",
-    /** The connection was established, but broke before the response head arrived. */
+    /** The connection was established, but broke or delivered malformed bytes before the response head arrived. */
     Broken = "broken",
     /** The attempt was cancelled by `cancel`. */
     Cancelled = "cancelled",
@@ -157,8 +158,9 @@
             receivedResponse = response;
             response.on("error", () => undefined);
             const status = response.statusCode ?? 0;
-            if (status < minFinalStatus) {
-                clientRequest.destroy(new Error(`status ${status} is not final`));
+            const problem = status < minFinalStatus ? `status ${status} is not final` : describeInvalidHeader(response.headers);
+            if (problem !== undefined) {
+                clientRequest.destroy(new Error(problem));
                 return;
             }
             resolve({
--- a/transport/forwarding/src/peerClient.ts
+++ b/transport/forwarding/src/peerClient.ts
@@ -186,7 +186,9 @@
                 return this.endOffer(offerId, parseLoss(payload), loss => observer?.onLost(loss));
             case FrameKind.ResponseHead: {
                 const head = parseResponseHead(payload);
-                return head === undefined ? this.close() : observer?.onResponseStart(head);
+                return head === undefined
+                    ? this.abandonOffer(offerId, "malformed response head")
+                    : observer?.onResponseStart(head);
             }
             case FrameKind.ResponseData:
                 return observer?.onResponseData(payload);
@@ -209,6 +211,16 @@
         this.closeIfIdle();
     }
 
+    /** Ends an offer whose response cannot be used; other offers on the connection continue. */
+    private abandonOffer(offerId: number, reason: string): void {
+        const observer = this.observers.get(offerId);
+        if (this.observers.delete(offerId)) {
+            this.connection.send(encodeFrame(FrameKind.Withdrawn, offerId));
+            observer?.onBroken(reason);
+            this.closeIfIdle();
+        }
+    }
+
     private closeIfIdle(): void {
         if (this.isRetired && this.observers.size === 0) {
             this.connection.socket.end();
