Read the collection again when its changes exceed one response

No node followed the entries any more.

Cause: a watch returns all changes in one response, which is limited to 4 MB; a list has pages.

Ruled out: the list, whose pages hold about 1 MB; a lost store, since other collections were followed.

Change: an exchange says that its response was too large, the collection reports TooManyChanges, and the task lists the collection.

--- a/daemons/sidecar/src/tasks/collectionTask.ts
+++ b/daemons/sidecar/src/tasks/collectionTask.ts
@@ -223,6 +223,10 @@
                 this.options.log.info("store-history-gone", { collection: this.options.name, revision: after });
                 this.needsRead = true;
                 return true;
+            case CollectionOutcomeKind.TooManyChanges:
+                this.options.log.warn("store-changes-too-large", { collection: this.options.name, revision: after });
+                this.needsRead = true;
+                return true;
             case StoreOutcomeKind.Unavailable:
                 this.recordStoreFailure(outcome.reason);
                 return false;
--- a/protocol/store/src/collections.ts
+++ b/protocol/store/src/collections.ts
@@ -24,6 +24,8 @@
 export enum CollectionOutcomeKind {
     /** The changes since the requested revision have been compacted; the whole collection must be read again. */
     HistoryGone = "history-gone",
+    /** The changes exceed the size of one response; the whole collection, which has pages, must be read again. */
+    TooManyChanges = "too-many-changes",
 }
 
 export type CollectionRead =
@@ -42,7 +44,7 @@
         /** Revision from which to continue watching. */
         readonly revision: number;
     }
-    | { readonly kind: CollectionOutcomeKind.HistoryGone }
+    | { readonly kind: CollectionOutcomeKind.HistoryGone | CollectionOutcomeKind.TooManyChanges }
     | UnavailableOutcome;
 
 export type CollectionWrite =
--- a/transport/store/src/exchange.ts
+++ b/transport/store/src/exchange.ts
@@ -27,6 +27,8 @@
         readonly reason: string;
         /** The exchange reused an idle connection, which broke before any response arrived. */
         readonly onStaleConnection: boolean;
+        /** The response exceeded `maxResponseBytes`. */
+        readonly isTooLarge: boolean;
     };
 
 export interface ExchangeRequest {
@@ -56,9 +58,9 @@
             path: options.path,
             headers: createHeaders(options),
         });
-        const fail = (reason: string, onStaleConnection = false): void => {
+        const fail = (reason: string, { onStaleConnection = false, isTooLarge = false } = {}): void => {
             finish(isConnected
-                ? { kind: ExchangeOutcomeKind.Lost, reason, onStaleConnection }
+                ? { kind: ExchangeOutcomeKind.Lost, reason, onStaleConnection, isTooLarge }
                 : { kind: ExchangeOutcomeKind.NotSent, reason });
             request.destroy();
         };
@@ -80,7 +82,7 @@
                 });
             }
         });
-        request.on("error", error => fail(error.message, request.reusedSocket));
+        request.on("error", error => fail(error.message, { onStaleConnection: request.reusedSocket }));
         request.on("response", response => collectBody(response, options.maxResponseBytes, fail, finish));
         request.end(options.body);
     });
@@ -99,7 +101,7 @@
 function collectBody(
     response: IncomingMessage,
     maxBytes: number,
-    fail: (reason: string) => void,
+    fail: (reason: string, details?: { readonly isTooLarge: boolean }) => void,
     finish: (outcome: ExchangeOutcome) => void,
 ): void {
     const chunks: Buffer[] = [];
@@ -108,7 +110,7 @@
         bytes += chunk.length;
         chunks.push(chunk);
         if (bytes > maxBytes) {
-            fail("the response is too large");
+            fail("the response is too large", { isTooLarge: true });
         }
     });
     response.on("error", error => fail(error.message));
