Decode entries of other writers to values that can be used and relayed

One entry with a port of 99999 ended all six processes, 16 times each in 10 s; 0 of 1,062 requests were served but for 13 refusals.

Cause: an entry was checked field by field for the first use, and its raw value was kept and relayed. connect throws on a port out of range; JSON.stringify throws RangeError on a value nested 100,000 deep, although parsing it is harmless.

Evidence: stacks of the ended processes, ERR_SOCKET_BAD_PORT in followNode and RangeError in encodeContent below RelayTask.getContent. Ruled out: the parser of the list.

Change: parseNodeEntry accepts only addresses that can be connected to and bounded numbers, times and texts. CollectionTask decodes each object as it arrives, from the store or another node, and keeps the result alone. Crash reports from far in the future are ignored. The fixture of localEntry.test.ts had a host name as its address and has an IP address now; its checks are the same.

--- a/coordination/quarantine/src/quarantine.ts
+++ b/coordination/quarantine/src/quarantine.ts
@@ -109,10 +109,11 @@
         return this.queue.slice(-maxReportsPerExchange).reverse().map(queued => queued.report);
     }
 
-    /** Merges reports of other nodes. Ignores known and expired ones. */
+    /** Merges reports of other nodes. Ignores known and expired ones, and those from a time far in the future. */
     mergeReports(reports: readonly QuarantineReport[]): void {
-        const oldest = this.clock.wallTime() - reportLifetimeMs;
-        reports.filter(report => report.at > oldest).forEach(report => this.recordReport(report));
+        const wallTime = this.clock.wallTime();
+        reports.filter(({ at }) => at > wallTime - reportLifetimeMs && at < wallTime + reportLifetimeMs)
+            .forEach(report => this.recordReport(report));
     }
 
     private recordReport(report: QuarantineReport): void {
--- a/coordination/registration/test/localEntry.test.ts
+++ b/coordination/registration/test/localEntry.test.ts
@@ -5,7 +5,7 @@
 const createEntry = (phase = TargetPhase.Ready): NodeEntry => ({
     node: "n",
     zone: "z",
-    address: "a:1",
+    address: "10.0.0.1:1",
     processors: 1,
     target: { id: "i", service: "s", slots: 2, phase, startedAt: 1, coldUntil: 0 },
     crashes: [],
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -11,7 +11,7 @@
 import { type Clock, type Milliseconds, SystemClock } from "@bilberrycroft/core.clock";
 import type { EventLog } from "@bilberrycroft/core.eventLog";
 import { createSeededRandom, type Random } from "@bilberrycroft/core.random";
-import type { AnnouncedCrash, StateVersions } from "@bilberrycroft/protocol.forwarding";
+import { type AnnouncedCrash, parseNodeEntry, type StateVersions } from "@bilberrycroft/protocol.forwarding";
 import { type Listener, splitAddress, startListener, TargetClient } from "@bilberrycroft/transport.calls";
 import { ResponsePacer, type OfferListener, PeerClient, startOfferListener } from "@bilberrycroft/transport.forwarding";
 import { CallMetrics } from "./metrics";
@@ -89,8 +89,8 @@
         this.quarantine = new Quarantine({ node: settings.node, clock });
         this.retryBudgets = new RetryBudgets({ clock, bound: settings.retryBudget, countNodes: () => directory.size });
         this.configurationCollection
-            = this.createCollectionTask("configuration", platform.configurations, configurationBatchDelayMs);
-        this.nodeCollection = this.createCollectionTask("nodes", platform.nodes, nodeBatchDelayMs);
+            = this.createCollectionTask("configuration", platform.configurations, configurationBatchDelayMs, value => value);
+        this.nodeCollection = this.createCollectionTask("nodes", platform.nodes, nodeBatchDelayMs, parseNodeEntry);
         this.configurationTask = new ConfigurationTask({ platform, log });
         const localTarget = new LocalTarget({
             clock,
@@ -198,9 +198,10 @@
         name: string,
         collection: MeshPlatform["nodes"],
         batchDelayMs: Milliseconds,
+        decode: (value: unknown) => unknown,
     ): CollectionTask {
         const { clock, random } = this;
-        return new CollectionTask({ name, collection, clock, random, log: this.options.log, batchDelayMs });
+        return new CollectionTask({ name, collection, clock, random, log: this.options.log, batchDelayMs, decode });
     }
 
     private createTargetTask(target: LocalTarget): TargetTask {
--- a/daemons/sidecar/src/tasks/collectionTask.ts
+++ b/daemons/sidecar/src/tasks/collectionTask.ts
@@ -28,6 +28,11 @@
     readonly log: EventLog;
     /** Delay between a change and the next watch. */
     readonly batchDelayMs: Milliseconds;
+    /**
+     * Decodes the value of each object, read or relayed. The task keeps and relays the result only, because a value of
+     * another writer may be too large or too deeply nested to be encoded again.
+     */
+    readonly decode: (value: unknown) => unknown;
 }
 
 /** Content of a collection at a store revision. */
@@ -126,7 +131,7 @@
 
     /** Applies changes relayed by another node. */
     applyRemote(changes: ObjectChanges): void {
-        if (this.table.applyRemote(changes)) {
+        if (this.table.applyRemote({ ...changes, objects: changes.objects.map(object => this.decodeObject(object)) })) {
             this.publishContent();
         }
     }
@@ -183,7 +188,7 @@
             case StoreOutcomeKind.Done:
                 this.needsRead = false;
                 this.recordStoreResponse();
-                if (this.table.replaceAll(outcome.objects, outcome.revision)) {
+                if (this.table.replaceAll(outcome.objects.map(object => this.decodeObject(object)), outcome.revision)) {
                     this.publishContent();
                 }
                 await sleep(this.options.batchDelayMs);
@@ -213,7 +218,10 @@
         switch (outcome.kind) {
             case StoreOutcomeKind.Done:
                 this.recordStoreResponse();
-                this.table.apply(outcome.changes, outcome.revision);
+                this.table.apply(
+                    outcome.changes.map(change => ({ ...change, object: this.decodeObject(change.object) })),
+                    outcome.revision,
+                );
                 if (outcome.changes.length > 0) {
                     this.publishContent();
                     await sleep(this.options.batchDelayMs);
@@ -235,6 +243,10 @@
         }
     }
 
+    private decodeObject({ name, revision, value }: CollectionObject): CollectionObject {
+        return { name, revision, value: this.options.decode(value) };
+    }
+
     private publishContent(): void {
         this.behindSince = undefined;
         this.contents.next({ objects: this.table.objects, revision: this.table.revision });
--- a/daemons/sidecar/test/collectionTask.test.ts
+++ b/daemons/sidecar/test/collectionTask.test.ts
@@ -71,7 +71,7 @@
         };
         const log = new EventLog({ clock, common: {}, sink });
         const random = createSeededRandom(1);
-        task = new CollectionTask({ name: "nodes", collection, clock, random, log, batchDelayMs: 0 });
+        task = new CollectionTask({ name: "nodes", collection, clock, random, log, batchDelayMs: 0, decode: value => value });
         task.start();
     });
     afterEach(() => task.stop());
--- a/protocol/calls/src/index.ts
+++ b/protocol/calls/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * Headers, outcomes and reason codes that calls carry on the wire in addition to the HTTP message.
  */
+export * from "./addresses";
 export * from "./headerFields";
 
 /** Header names, in lower case as Node's `http` module delivers them. */
--- a/protocol/forwarding/src/targetEntry.ts
+++ b/protocol/forwarding/src/targetEntry.ts
@@ -3,6 +3,7 @@
  */
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import { isNumber, isRecord, isText } from "@bilberrycroft/core.json";
+import { isSocketAddress } from "@bilberrycroft/protocol.calls";
 
 /** Lifecycle phase that a target announces. */
 export enum TargetPhase {
@@ -53,7 +54,8 @@
         return undefined;
     }
     const { node, zone, address, processors = defaultProcessors, target, crashes } = value;
-    if (!isText(node) || !isText(zone) || !isText(address) || !addressPattern.test(address) || !isNumber(processors)) {
+    if (!isLabel(node) || !isLabel(zone) || !isLabel(address) || !isSocketAddress(address)
+        || !isNumber(processors) || processors <= 0 || processors > maxProcessors) {
         return undefined;
     }
     const parsedTarget = target === undefined ? undefined : parseTarget(target);
@@ -66,19 +68,32 @@
 
 /** Maximum number of crashes in one entry; the newest is last. */
 export const maxCrashes = 32;
-const maxSlots = 100_000;
+/** Largest number of slots that a target may announce. */
+export const maxSlots = 100_000;
 /** Used for entries without `processors`. */
 const defaultProcessors = 1;
-const addressPattern = /^[^\s:]+:\d{1,5}$/;
+const maxProcessors = 4_096;
+/** Limit of names, identifiers and digests in an entry, in UTF-16 code units. */
+const maxLabelLength = 512;
+/** Limit of the time values that `Date` can represent. */
+const maxTime: Milliseconds = 8.64e15;
+
+function isLabel(value: unknown): value is string {
+    return isText(value) && value.length <= maxLabelLength;
+}
+
+function isTime(value: unknown): value is Milliseconds {
+    return isNumber(value) && Math.abs(value) <= maxTime;
+}
 
 function parseTarget(value: unknown): AnnouncedTarget | undefined {
     if (!isRecord(value)) {
         return undefined;
     }
     const { id, service, slots, phase, startedAt, coldUntil } = value;
-    const isValid = isText(id) && isText(service) && isNumber(slots) && slots >= 1 && slots <= maxSlots
+    const isValid = isLabel(id) && isLabel(service) && isNumber(slots) && slots >= 1 && slots <= maxSlots
         && (phase === TargetPhase.Ready || phase === TargetPhase.Draining)
-        && isNumber(startedAt) && isNumber(coldUntil);
+        && isTime(startedAt) && isTime(coldUntil);
     return isValid ? { id, service, slots, phase, startedAt, coldUntil } : undefined;
 }
 
@@ -87,6 +102,6 @@
         return [];
     }
     const { fingerprint, target, at, startedAt } = value;
-    const isValid = isText(fingerprint) && isText(target) && isNumber(at) && isNumber(startedAt);
+    const isValid = isLabel(fingerprint) && isLabel(target) && isTime(at) && isTime(startedAt);
     return isValid ? [{ fingerprint, target, at, startedAt }] : [];
 }
