--- a/coordination/registration/src/localTarget.ts
+++ b/coordination/registration/src/localTarget.ts
@@ -26,6 +26,12 @@
 /** Maximum number of ended incarnations to keep. */
 const maxEndedIncarnations = 32;
 
+/**
+ * A start further ahead of the local clock is refused: clocks differ by seconds, and every heartbeat of the real target
+ * would count as outdated.
+ */
+const maxStartLeadMs: Milliseconds = 86_400_000;
+
 interface CurrentTarget {
     readonly announced: AnnouncedTarget;
     readonly sequence: number;
@@ -66,7 +72,9 @@
     }
 
     handleHeartbeat(heartbeat: TargetHeartbeat): HeartbeatOutcome {
-        if (heartbeat.service !== this.options.service || heartbeat.address !== this.options.address) {
+        const { clock, service, address } = this.options;
+        const isFromFuture = (heartbeat.startedAt ?? 0) > clock.wallTime() + maxStartLeadMs;
+        if (heartbeat.service !== service || heartbeat.address !== address || isFromFuture) {
             return { kind: HeartbeatOutcomeKind.Foreign };
         }
         if (this.isOutdated(heartbeat)) {
