Discard unneeded bodies within a limit of bytes and time

After 120 refusals with a body without end, 8 of 296 calls of the callers on that host were served, 296 of 296 at another host.

Cause: resume() on a refusal reads its body without a bound, and the call that had a timer has ended.

Evidence: in platform/test/endless.test.ts the connections of refused calls stayed open and were read as fast as the target wrote. Ruled out: further offers to the target, and slots that are not released.

Change: one function for responses and one for requests that are refused, for both programs: 256 KiB and 1 s, then the connection is closed and logged. A request keeps the whole second, so that its sender can read the refusal.

--- a/daemons/node/src/calls/callExecution.ts
+++ b/daemons/node/src/calls/callExecution.ts
@@ -28,6 +28,7 @@
     type Attempt,
     type AttemptEvent,
     AttemptEventKind,
+    discardResponseBody,
     streamResponse,
     type TargetClient,
 } from "@bilberrycroft/transport.calls";
@@ -227,7 +228,7 @@
 
     private async handleResponseHead(inFlight: AttemptInFlight, head: ResponseHead): Promise<void> {
         if (reportsNotRun(head)) {
-            head.response.resume();
+            discardResponseBody(head.response);
             this.endAttempt(inFlight, { kind: AttemptResultKind.NotRun, retryAfterMs: readRetryAfterMs(head) }, head);
             return;
         }
--- a/daemons/sidecar/src/calls/targetCall.ts
+++ b/daemons/sidecar/src/calls/targetCall.ts
@@ -7,7 +7,13 @@
 import type { EventLog } from "@bilberrycroft/core.eventLog";
 import { CallReason } from "@bilberrycroft/protocol.calls";
 import type { NodeReport } from "@bilberrycroft/protocol.forwarding";
-import { type Attempt, type AttemptEvent, AttemptEventKind, type TargetClient } from "@bilberrycroft/transport.calls";
+import {
+    type Attempt,
+    type AttemptEvent,
+    AttemptEventKind,
+    discardResponseBody,
+    type TargetClient,
+} from "@bilberrycroft/transport.calls";
 import { copyHeaders, type IncomingOffer } from "@bilberrycroft/transport.forwarding";
 import type { CallHeaderCodec, TargetResponseHead } from "../ports";
 
@@ -167,7 +173,7 @@
             services.handleTargetHead(head, this.call.targetStartedAt);
         }
         if (head.isNotRun) {
-            event.response.resume();
+            discardResponseBody(event.response, () => this.log("refusal-cut", String(event.status)));
             this.log("target-refused", String(event.status));
             this.refuse(CallReason.TargetRefused);
             return RunResult.Shed;
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -18,7 +18,7 @@
 import { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
 import type { Offer } from "@bilberrycroft/protocol.forwarding";
 import type { Route, RouteTable } from "@bilberrycroft/state.routes";
-import { BodyOutcomeKind, readBody } from "@bilberrycroft/transport.calls";
+import { BodyOutcomeKind, discardRequestBody, readBody } from "@bilberrycroft/transport.calls";
 import { copyHeaders } from "@bilberrycroft/transport.forwarding";
 import { CallerCall } from "../calls/callerCall";
 import type { AcceptedCall, CallEnd, CallerServices } from "../calls/callerCallTypes";
@@ -95,7 +95,7 @@
         const { table } = this;
         const head = codec.readCallerHead(request.headers);
         const refuse = (reason: CallReason, status?: number): void => {
-            request.resume();
+            discardRequestBody(request, () => log.info("request-cut", { call: head?.callId, reason }));
             const { host } = request.headers;
             log.info("call-refused", { call: head?.callId, host, path: request.url, version: table?.version, reason });
             metrics.recordRefusal(reason);
@@ -127,7 +127,7 @@
 
     private async forward(received: ReceivedCall): Promise<void> {
         const { options } = this;
-        const { request, response, head, route } = received;
+        const { response, head, route } = received;
         const service = this.serviceSelector.nextService(route);
         const call = this.createCall(received);
         const decision = options.quarantine.check(call.offer.fingerprint);
@@ -161,7 +161,6 @@
         const plan = new CallPlan(services, planned, this.responseSizes.meanBytes(route.name));
         const end = await new CallerCall(call, plan, options).run();
         this.recordEnd(call, service, end);
-        request.resume();
     }
 
     private createCall({ request, response, head, route, table, body, startedAt }: ReceivedCall): AcceptedCall {
--- a/transport/calls/src/index.ts
+++ b/transport/calls/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./addresses";
 export * from "./bodies";
+export * from "./discarding";
 export * from "./listener";
 export * from "./probe";
 export * from "./streaming";
