Check for a crash whenever the connection of a call breaks

A request that crashes its targets 30 ms after they have begun to respond crashed 30 of them in 15 attempts, 24 later than 3 s after the third crash; one that crashes them before that is held back after two.

Cause: only an attempt that broke before its response head told the quarantine so.

Evidence: for such a call the log has answer-cut, but neither target-crashed nor crashes-learned, which rules out a hold that does not start and reports that do not spread.

Change: a response or a refusal whose connection breaks is checked for a crash like any other call, unless this node closed the connection. The stream of daemons/node tells a broken target from a caller that left. A target that still listens does not count as crashed.

--- a/daemons/node/src/calls/callExecution.ts
+++ b/daemons/node/src/calls/callExecution.ts
@@ -29,6 +29,7 @@
     type AttemptEvent,
     AttemptEventKind,
     discardResponseBody,
+    StreamOutcome,
     streamResponse,
     type TargetClient,
 } from "@bilberrycroft/transport.calls";
@@ -254,13 +255,19 @@
         this.isStreaming = true;
         this.abandonAttempts(AttemptResultKind.Cancelled, inFlight);
         this.response.writeHead(head.status, createResponseHeaders(head.headers, this.call.version));
-        const isComplete = await streamResponse(head.response, this.response);
-        this.endAttempt(inFlight, isComplete
+        const outcome = await streamResponse(head.response, this.response);
+        const result: AttemptResult = outcome === StreamOutcome.Complete
             ? { kind: AttemptResultKind.Done, status: head.status }
-            : { kind: inFlight.abandonedAs ?? AttemptResultKind.Broken }, head);
+            : { kind: inFlight.abandonedAs ?? AttemptResultKind.Broken };
+        this.endAttempt(inFlight, result, head, outcome === StreamOutcome.TargetBroke);
     }
 
-    private endAttempt(inFlight: AttemptInFlight, result: AttemptResult, head: ResponseHead | undefined): void {
+    private endAttempt(
+        inFlight: AttemptInFlight,
+        result: AttemptResult,
+        head: ResponseHead | undefined,
+        hasTargetBroken = result.kind === AttemptResultKind.Broken,
+    ): void {
         const { services, call } = this;
         const { target } = inFlight.start;
         this.attempts.delete(target.id);
@@ -268,14 +275,8 @@
         if (connectMs !== undefined) {
             services.recordRoundTrip(target.zone, connectMs);
         }
-        if (result.kind === AttemptResultKind.Broken && !this.isStreaming) {
-            this.brokenAttemptCount++;
-            services.handleBrokenConnection({
-                target: target.id,
-                address: target.address,
-                fingerprint: call.fingerprint,
-                ageMs: services.clock.now() - inFlight.startedAt,
-            });
+        if (hasTargetBroken) {
+            this.reportBrokenConnection(inFlight);
         }
         const completion: Completion = {
             callId: call.submitted.callId,
@@ -295,6 +296,16 @@
         services.dispatch(events);
     }
 
+    private reportBrokenConnection({ start, startedAt }: AttemptInFlight): void {
+        this.brokenAttemptCount++;
+        this.services.handleBrokenConnection({
+            target: start.target.id,
+            address: start.target.address,
+            fingerprint: this.call.fingerprint,
+            ageMs: this.services.clock.now() - startedAt,
+        });
+    }
+
     private applyDecision(decision: AttemptDecision): void {
         switch (decision.kind) {
             case AttemptDecisionKind.Respond:
--- a/daemons/node/test/outcomes.test.ts
+++ b/daemons/node/test/outcomes.test.ts
@@ -1,3 +1,4 @@
+import type { ServerResponse } from "node:http";
 import { MemoryStore, StoreFaultKind } from "@bilberrycroft/protocol.store";
 import { TargetState } from "@bilberrycroft/coordination.membership";
 import { v7 as createKey } from "uuid";
@@ -192,6 +193,36 @@
     });
 
     it("quarantines a request that crashed two targets and serves other calls", async () => {
+        await expectQuarantineOfCrashes((_, crash) => crash());
+    });
+
+    // Guards against a request that is never held back because its targets crash after they have begun to respond.
+    const begunResponses: readonly { readonly name: string; readonly begin: (response: ServerResponse) => void }[] = [
+        { name: "a short response", begin: response => response.writeHead(200, { "content-length": 100 }).write("a") },
+        { name: "a streamed response", begin: response => response.writeHead(200).write("a") },
+    ];
+    it.each(begunResponses)("quarantines a request that crashed two targets within $name", async ({ begin }) => {
+        await expectQuarantineOfCrashes((response, crash) => {
+            begin(response);
+            setTimeout(crash, 30);
+        });
+    });
+
+    it("does not quarantine a request whose targets truncate the response and live on", async () => {
+        target.behaviour = response => {
+            response.writeHead(200).write("a");
+            setTimeout(() => response.destroy(), 30);
+        };
+        for (let calls = 0; calls < 6; calls++) {
+            expect((await send(node.callAddress, "/read").catch(() => undefined))?.reason).not.toBe("quarantined");
+        }
+        // Two crashes would have been enough.
+        expect(target.receivedCalls.length).toBeGreaterThanOrEqual(2);
+    });
+
+    const expectQuarantineOfCrashes = async (
+        respond: (response: ServerResponse, crash: () => void) => void,
+    ): Promise<void> => {
         const ids = ["t2", "t3", "t4"];
         const targets = [target, ...await Promise.all(ids.map(id => startFakeTarget(cleanup, node, { id })))];
         const crashed = new Set<FakeTarget>();
@@ -201,17 +232,20 @@
                     response.end("done");
                     return;
                 }
-                crashed.add(each);
-                each.crash();
+                respond(response, () => {
+                    crashed.add(each);
+                    each.crash();
+                });
             };
         }
         let reason: string | undefined;
         await waitUntil(async () => {
-            reason = (await send(node.callAddress, "/read", { method: "POST", body: "poison" })).reason;
+            const response = await send(node.callAddress, "/read", { method: "POST", body: "poison" }).catch(() => undefined);
+            reason = response?.reason;
             return reason === "quarantined" || crashed.size === targets.length;
         });
         expect(reason).toBe("quarantined");
         expect(crashed.size).toBe(2);
         expect((await send(node.callAddress, "/read", { method: "POST", body: "harmless" })).outcome).toBe("done");
-    });
+    };
 });
--- a/daemons/sidecar/src/calls/targetCall.ts
+++ b/daemons/sidecar/src/calls/targetCall.ts
@@ -11,6 +11,7 @@
     type Attempt,
     type AttemptEvent,
     AttemptEventKind,
+    DiscardCut,
     discardResponseBody,
     type TargetClient,
 } from "@bilberrycroft/transport.calls";
@@ -173,7 +174,7 @@
             services.handleTargetHead(head, this.call.targetStartedAt);
         }
         if (head.isNotRun) {
-            discardResponseBody(event.response, () => this.log("refusal-cut", String(event.status)));
+            discardResponseBody(event.response, cut => this.handleRefusalCut(cut));
             this.log("target-refused", String(event.status));
             this.refuse(CallReason.TargetRefused);
             return RunResult.Shed;
@@ -188,6 +189,9 @@
         if (!await this.forwardResponse(event)) {
             this.log("answer-cut", String(event.status));
             this.reportLoss(CallReason.AnswerLost);
+            if (!this.isCancelled) {
+                this.reportBrokenConnection();
+            }
             return this.isCancelled ? RunResult.Cancelled : RunResult.Broken;
         }
         return event.status >= firstServerErrorStatus ? RunResult.Failed : RunResult.Answered;
@@ -220,18 +224,25 @@
     }
 
     private handleBrokenConnection(reason: string): void {
-        const { services } = this;
-        const { offer } = this.call.incoming.message;
         this.log("target-connection-broke", reason);
-        services.handleBrokenConnection({
-            callId: offer.callId,
-            fingerprint: offer.fingerprint,
-            target: offer.target,
-            ageMs: services.clock.now() - this.sentAt,
-        });
+        this.reportBrokenConnection();
         this.reportLoss(CallReason.AnswerLost);
     }
 
+    private handleRefusalCut(cut: DiscardCut): void {
+        this.log("refusal-cut", cut);
+        if (cut === DiscardCut.Broken) {
+            this.reportBrokenConnection();
+        }
+    }
+
+    /** A target may crash at any moment of a call, also after it has begun to respond. */
+    private reportBrokenConnection(): void {
+        const { services } = this;
+        const { callId, fingerprint, target } = this.call.incoming.message.offer;
+        services.handleBrokenConnection({ callId, fingerprint, target, ageMs: services.clock.now() - this.sentAt });
+    }
+
     private refuse(reason: CallReason): void {
         const { incoming } = this.call;
         incoming.refuse({ reason, retryAfterMs: 0, report: this.services.createReport(incoming.message.offer.route) });
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -95,7 +95,7 @@
         const { table } = this;
         const head = codec.readCallerHead(request.headers);
         const refuse = (reason: CallReason, status?: number): void => {
-            discardRequestBody(request, () => log.info("request-cut", { call: head?.callId, reason }));
+            discardRequestBody(request, cut => log.info("request-cut", { call: head?.callId, reason, cut }));
             const { host } = request.headers;
             log.info("call-refused", { call: head?.callId, host, path: request.url, version: table?.version, reason });
             metrics.recordRefusal(reason);
--- a/transport/calls/src/discarding.ts
+++ b/transport/calls/src/discarding.ts
@@ -8,22 +8,33 @@
 export const maxDiscardedBytes = 262_144;
 export const maxDiscardMs: Milliseconds = 1_000;
 
+/** Why the rest of a body was not discarded to its end. */
+export enum DiscardCut {
+    /** It exceeded the limit of bytes or time. */
+    Limit = "limit",
+    /** Its connection broke. */
+    Broken = "broken",
+}
+
+type CutHandler = (cut: DiscardCut) => void;
+
+const ignoreCut: CutHandler = () => undefined;
 const discardedMessages = new WeakSet<IncomingMessage>();
 
-/** Discards the rest of a target's response. `handleCut` is called if its connection is closed before the end. */
-export function discardResponseBody(response: IncomingMessage, handleCut: () => void = () => undefined): void {
+/** Discards the rest of a target's response. `handleCut` is called if its connection ends before the body. */
+export function discardResponseBody(response: IncomingMessage, handleCut = ignoreCut): void {
     discard(response, handleCut, () => response.destroy());
 }
 
 /**
  * Discards the rest of a caller's request; the caller has the whole time to read the response that refuses it.
- * `handleCut` is called if the connection is closed before the end.
+ * `handleCut` is called if the connection ends before the body.
  */
-export function discardRequestBody(request: IncomingMessage, handleCut: () => void = () => undefined): void {
+export function discardRequestBody(request: IncomingMessage, handleCut = ignoreCut): void {
     discard(request, handleCut, () => request.pause());
 }
 
-function discard(message: IncomingMessage, handleCut: () => void, handleExcess: () => void): void {
+function discard(message: IncomingMessage, handleCut: CutHandler, handleExcess: () => void): void {
     if (discardedMessages.has(message) || message.destroyed) {
         return;
     }
@@ -33,10 +44,15 @@
     }
     discardedMessages.add(message);
     let discardedBytes = 0;
-    const timer = setTimeout(() => message.destroy(), maxDiscardMs);
+    let cut = DiscardCut.Broken;
+    const timer = setTimeout(() => {
+        cut = DiscardCut.Limit;
+        message.destroy();
+    }, maxDiscardMs);
     message.on("data", (chunk: Buffer) => {
         discardedBytes += chunk.length;
         if (discardedBytes > maxDiscardedBytes) {
+            cut = DiscardCut.Limit;
             handleExcess();
         }
     });
@@ -45,7 +61,7 @@
     message.once("close", () => {
         clearTimeout(timer);
         if (!message.complete) {
-            handleCut();
+            handleCut(cut);
         }
     });
     message.resume();
