Confine unexpected exceptions to the call, frame, entry or timer that causes them

Cause: an exception in a handler of a frame, a timer or a promise reaches the handler of uncaught exceptions, which ends the process.

Change: FaultBarrier logs (fault-confined, with scope, identifiers and stack, rate bounded), counts (faults_confined) and recovers: a caller's call ends as unknown, an offer that is not granted as not run, a call at the target as lost with its slot freed.

--- a/core/eventLog/src/index.ts
+++ b/core/eventLog/src/index.ts
@@ -8,6 +8,8 @@
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import { type ConsolaInstance, createConsola } from "consola/core";
 
+export * from "./faultBarrier";
+
 export type EventFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
 /** Destination of log lines. */
--- a/daemons/sidecar/src/calls/callerCall.ts
+++ b/daemons/sidecar/src/calls/callerCall.ts
@@ -53,8 +53,21 @@
         return new Promise(resolve => {
             this.finish = resolve;
             this.schedule(this.call.deadlineAt, () => this.handleDeadline());
-            this.call.response.on("close", () => this.handleCallerClosed());
-            this.perform(this.plan.start());
+            this.call.response.on("close", () => this.guard(() => this.handleCallerClosed()));
+            this.guard(() => this.perform(this.plan.start()));
+        });
+    }
+
+    /** An unexpected exception ends this call alone. It may have run. */
+    private guard(run: () => void): void {
+        const { call, services } = this;
+        services.faults.run("caller-call", { call: call.callId, route: call.route }, run, () => {
+            for (const [attempt, state] of [...this.attempts]) {
+                this.removeAttempt(attempt, state);
+                state.handle.withdraw();
+            }
+            this.streaming = undefined;
+            this.respondLocally(CallOutcome.Unknown, CallReason.AnswerLost, undefined);
         });
     }
 
@@ -141,14 +154,14 @@
                 state: services.getLocalVersions(),
             },
             observer: {
-                onQueued: () => this.handleQueued(attempt),
-                onGranted: () => this.handleGranted(attempt),
-                onRefused: refusal => this.handleRefused(attempt, refusal),
-                onLost: loss => this.handleLost(attempt, loss),
-                onResponseStart: head => this.handleResponseStart(attempt, head),
-                onResponseData: data => this.handleResponseData(attempt, data),
-                onResponseEnd: () => this.handleResponseEnd(attempt),
-                onBroken: reason => this.handleBroken(attempt, reason),
+                onQueued: () => this.guard(() => this.handleQueued(attempt)),
+                onGranted: () => this.guard(() => this.handleGranted(attempt)),
+                onRefused: refusal => this.guard(() => this.handleRefused(attempt, refusal)),
+                onLost: loss => this.guard(() => this.handleLost(attempt, loss)),
+                onResponseStart: head => this.guard(() => this.handleResponseStart(attempt, head)),
+                onResponseData: data => this.guard(() => this.handleResponseData(attempt, data)),
+                onResponseEnd: () => this.guard(() => this.handleResponseEnd(attempt)),
+                onBroken: reason => this.guard(() => this.handleBroken(attempt, reason)),
             },
         });
         this.attempts.set(attempt, {
@@ -171,7 +184,8 @@
     private startAcknowledgementTimer(attempt: number, node: string): NodeJS.Timeout {
         const { clock, directory } = this.services;
         const waitMs = directory.responseTimeoutMs(node, this.call.deadlineAt - clock.now());
-        return setTimeout(() => setImmediate(() => this.handleAcknowledgementTimeout(attempt)), waitMs);
+        const check = (): void => this.guard(() => this.handleAcknowledgementTimeout(attempt));
+        return setTimeout(() => setImmediate(check), waitMs);
     }
 
     private handleQueued(attempt: number): void {
@@ -393,7 +407,7 @@
     private schedule(at: Milliseconds, run: () => void): void {
         const timer = setTimeout(() => {
             this.timers.delete(timer);
-            run();
+            this.guard(run);
         }, Math.max(0, at - this.services.clock.now()));
         this.timers.add(timer);
     }
--- a/daemons/sidecar/src/calls/callerCallTypes.ts
+++ b/daemons/sidecar/src/calls/callerCallTypes.ts
@@ -4,7 +4,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { TargetDirectory } from "@bilberrycroft/coordination.forwarding";
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
-import type { EventLog } from "@bilberrycroft/core.eventLog";
+import type { EventLog, FaultBarrier } from "@bilberrycroft/core.eventLog";
 import type { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
 import type { ForwardedHeaders, Offer, StateVersions } from "@bilberrycroft/protocol.forwarding";
 import type { PeerClient } from "@bilberrycroft/transport.forwarding";
@@ -17,6 +17,7 @@
     readonly codec: CallHeaderCodec;
     readonly directory: TargetDirectory;
     readonly log: EventLog;
+    readonly faults: FaultBarrier;
     /** Returns the newest versions that this node has. */
     getLocalVersions(): StateVersions;
     /** Called with the newest versions of a peer. */
--- a/daemons/sidecar/src/calls/localResponses.ts
+++ b/daemons/sidecar/src/calls/localResponses.ts
@@ -35,6 +35,9 @@
     codec: CallHeaderCodec,
     localResponse: LocalResponse,
 ): void {
+    if (response.writableEnded) {
+        return;
+    }
     if (response.headersSent) {
         // The head of a target's response has been sent; closing the connection signals that it is truncated.
         response.destroy();
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -9,11 +9,17 @@
 import { SourceSelection } from "@bilberrycroft/coordination.relay";
 import { LocalTarget, type TargetDeparture, type TargetHeartbeat } from "@bilberrycroft/coordination.registration";
 import { type Clock, type Milliseconds, SystemClock } from "@bilberrycroft/core.clock";
-import type { EventLog } from "@bilberrycroft/core.eventLog";
+import { type EventLog, FaultBarrier } from "@bilberrycroft/core.eventLog";
 import { createSeededRandom, type Random } from "@bilberrycroft/core.random";
 import { type AnnouncedCrash, parseNodeEntry, type StateVersions } from "@bilberrycroft/protocol.forwarding";
 import { type Listener, splitAddress, startListener, TargetClient } from "@bilberrycroft/transport.calls";
-import { ResponsePacer, type OfferListener, PeerClient, startOfferListener } from "@bilberrycroft/transport.forwarding";
+import {
+    type FrameFaultHandler,
+    type OfferListener,
+    PeerClient,
+    ResponsePacer,
+    startOfferListener,
+} from "@bilberrycroft/transport.forwarding";
 import { CallMetrics } from "./metrics";
 import { NodeTable } from "./nodeTable";
 import type { MeshPlatform } from "./ports";
@@ -54,7 +60,9 @@
     readonly metrics = new CallMetrics();
     private readonly clock: Clock = new SystemClock();
     private readonly random: Random;
-    private readonly peerClient = new PeerClient();
+    private readonly faults: FaultBarrier;
+    private readonly handleFrameFault: FrameFaultHandler;
+    private readonly peerClient: PeerClient;
     private readonly pacer: ResponsePacer;
     private readonly targetClient = new TargetClient(this.clock);
     private readonly directory: TargetDirectory;
@@ -77,6 +85,9 @@
         const { settings, platform, log } = options;
         const { clock } = this;
         this.random = createSeededRandom(options.seed ?? randomInt(maxSeed));
+        this.faults = new FaultBarrier(log);
+        this.handleFrameFault = ({ kind, offerId }, error) => this.faults.record("frame", { kind, offerId }, error);
+        this.peerClient = new PeerClient(this.handleFrameFault);
         this.pacer = new ResponsePacer({ clock, linkBytesPerSecond: settings.linkBytesPerSecond });
         const directory = new TargetDirectory({
             clock,
@@ -114,11 +125,13 @@
             directory,
             client: this.peerClient,
             log,
+            faults: this.faults,
             handlePeerVersions: versions => this.handlePeerVersions(versions),
         });
         this.relayTask = new RelayTask({
             clock,
             log,
+            faults: this.faults,
             selection: new SourceSelection({ clock, node: settings.node, zone: settings.zone }),
             configurationCollection: this.configurationCollection,
             configurationTask: this.configurationTask,
@@ -143,6 +156,7 @@
             maxConnections,
             pacer: this.pacer,
             handleOffer: offer => this.targetTask.handleOffer(offer),
+            handleFault: this.handleFrameFault,
             createReport: () => this.targetTask.createReport(""),
             onFollowerConnected: follower => this.relayTask.addFollower(follower),
             onFollowerDisconnected: follower => this.relayTask.removeFollower(follower),
@@ -179,6 +193,7 @@
             { name: "target_calls", help: "Calls in the target or waiting for it.", read: () => this.targetTask.inProgress },
             { name: "target_calls_sent", help: "Calls sent to the target since the start.", read: () => this.targetTask.sentCalls },
             { name: "target_request_limit", help: "Calls per second that the target accepts; 0 without a limit.", read: () => this.targetTask.requestLimit },
+            { name: "faults_confined", help: "Exceptions confined to what caused them.", read: () => this.faults.count },
             { name: "log_lines_dropped", help: "Log lines dropped.", read: () => this.options.log.dropped },
         ]);
     }
@@ -200,8 +215,9 @@
         batchDelayMs: Milliseconds,
         decode: (value: unknown) => unknown,
     ): CollectionTask {
-        const { clock, random } = this;
-        return new CollectionTask({ name, collection, clock, random, log: this.options.log, batchDelayMs, decode });
+        const { clock, random, faults } = this;
+        const { log } = this.options;
+        return new CollectionTask({ name, collection, clock, random, log, faults, batchDelayMs, decode });
     }
 
     private createTargetTask(target: LocalTarget): TargetTask {
@@ -216,6 +232,7 @@
             client: this.targetClient,
             codec: platform.headers,
             log,
+            faults: this.faults,
             targetAddress: settings.targetAddress,
             getLocalVersions: () => this.getLocalVersions(),
             handlePeerVersions: versions => this.handlePeerVersions(versions),
@@ -234,6 +251,7 @@
             codec: platform.headers,
             directory,
             log,
+            faults: this.faults,
             quarantine,
             metrics,
             budgets: this.retryBudgets,
@@ -245,17 +263,19 @@
     }
 
     private connectTasks(): void {
-        this.configurationCollection.contents.subscribe(content => this.configurationTask.handleContent(content));
-        this.configurationTask.activations.subscribe(table => {
+        // rxjs reports an exception of a subscriber later, outside any barrier around the emission.
+        const guard = <Value>(scope: string, handle: (value: Value) => void) =>
+            (value: Value): void => this.faults.run(scope, {}, () => handle(value));
+        this.configurationCollection.contents.subscribe(guard("configuration", content =>
+            this.configurationTask.handleContent(content)));
+        this.configurationTask.activations.subscribe(guard("activation", table => {
             this.callerTask.activate(table);
             this.callerListener?.setIdleTimeout(table.configuration.callerLimits.idleTimeoutMs);
             this.relayTask.handleVersionChange();
-        });
-        this.nodeCollection.contents.subscribe(content => {
-            this.registrationTask.handleContent(content);
-            this.applyNodeEntries(content);
-        });
-        this.registrationTask.changes.subscribe(() => this.targetTask.updateAvailability());
+        }));
+        this.nodeCollection.contents.subscribe(guard("own-entry", content => this.registrationTask.handleContent(content)));
+        this.nodeCollection.contents.subscribe(guard("entries", content => this.applyNodeEntries(content)));
+        this.registrationTask.changes.subscribe(guard("availability", () => this.targetTask.updateAvailability()));
     }
 
     private applyNodeEntries({ objects }: CollectionContent): void {
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -83,7 +83,13 @@
         response.once("close", () => {
             this.callsInProgress--;
         });
-        void this.handleCall(request, response, this.options.clock.now());
+        const { clock, codec, faults } = this.options;
+        void faults.runAsync(
+            "request",
+            { path: request.url },
+            () => this.handleCall(request, response, clock.now()),
+            () => sendLocalResponse(response, codec, { callId: undefined, reason: CallReason.AnswerLost }),
+        );
     }
 
     private async handleCall(
--- a/daemons/sidecar/src/tasks/collectionTask.ts
+++ b/daemons/sidecar/src/tasks/collectionTask.ts
@@ -8,7 +8,7 @@
 import { type ObjectChanges, ObjectTable } from "@bilberrycroft/coordination.relay";
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import { assertNever } from "@bilberrycroft/core.errors";
-import type { EventLog } from "@bilberrycroft/core.eventLog";
+import type { EventLog, FaultBarrier } from "@bilberrycroft/core.eventLog";
 import type { Random } from "@bilberrycroft/core.random";
 import {
     type CollectionObject,
@@ -26,6 +26,7 @@
     readonly clock: Clock;
     readonly random: Random;
     readonly log: EventLog;
+    readonly faults: FaultBarrier;
     /** Delay between a change and the next watch. */
     readonly batchDelayMs: Milliseconds;
     /**
@@ -169,13 +170,22 @@
                 await this.waitUntilWoken();
                 continue;
             }
-            const hasSucceeded = this.needsRead ? await this.read() : await this.watch();
+            const hasSucceeded = await this.readOrWatch();
             if (!hasSucceeded && !this.isStopped) {
                 await sleep(this.computeRetryDelayMs());
             }
         }
     }
 
+    /** Returns whether it has succeeded; an unexpected exception counts as a failure of the store. */
+    private async readOrWatch(): Promise<boolean> {
+        let hasSucceeded = false;
+        await this.options.faults.runAsync("collection", { collection: this.options.name }, async () => {
+            hasSucceeded = this.needsRead ? await this.read() : await this.watch();
+        }, () => this.consecutiveFailures++);
+        return hasSucceeded;
+    }
+
     private waitUntilWoken(): Promise<void> {
         return new Promise(resolve => {
             this.wake = resolve;
@@ -244,7 +254,12 @@
     }
 
     private decodeObject({ name, revision, value }: CollectionObject): CollectionObject {
-        return { name, revision, value: this.options.decode(value) };
+        const { faults, decode } = this.options;
+        let decoded: unknown;
+        faults.run("entry", { name }, () => {
+            decoded = decode(value);
+        });
+        return { name, revision, value: decoded };
     }
 
     private publishContent(): void {
--- a/daemons/sidecar/src/tasks/probeTask.ts
+++ b/daemons/sidecar/src/tasks/probeTask.ts
@@ -3,7 +3,7 @@
  */
 import type { TargetDirectory } from "@bilberrycroft/coordination.forwarding";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
-import type { EventLog } from "@bilberrycroft/core.eventLog";
+import type { EventLog, FaultBarrier } from "@bilberrycroft/core.eventLog";
 import type { NodeEntry, StateVersions } from "@bilberrycroft/protocol.forwarding";
 import type { PeerClient } from "@bilberrycroft/transport.forwarding";
 
@@ -11,6 +11,7 @@
     readonly directory: TargetDirectory;
     readonly client: PeerClient;
     readonly log: EventLog;
+    readonly faults: FaultBarrier;
     /** Called with the newest versions of a peer. After a network partition, probes receive them before calls do. */
     handlePeerVersions(versions: StateVersions): void;
 }
@@ -47,7 +48,8 @@
     private probeDueNodes(): void {
         for (const entry of this.options.directory.nodesDueForProbe()) {
             if (!this.probing.has(entry.node)) {
-                void this.probe(entry);
+                const { node } = entry;
+                void this.options.faults.runAsync("probe", { peer: node }, () => this.probe(entry), () => this.probing.delete(node));
             }
         }
     }
--- a/daemons/sidecar/src/tasks/relayTask.ts
+++ b/daemons/sidecar/src/tasks/relayTask.ts
@@ -7,7 +7,7 @@
  */
 import { parseObjectChanges, type RelayNode, type SourceSelection, stateIntervalMs } from "@bilberrycroft/coordination.relay";
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
-import type { EventLog } from "@bilberrycroft/core.eventLog";
+import type { EventLog, FaultBarrier } from "@bilberrycroft/core.eventLog";
 import {
     type ContentRequest,
     encodeContent,
@@ -23,6 +23,7 @@
 export interface RelayTaskOptions {
     readonly clock: Clock;
     readonly log: EventLog;
+    readonly faults: FaultBarrier;
     readonly selection: SourceSelection;
     readonly configurationCollection: CollectionTask;
     readonly configurationTask: ConfigurationTask;
@@ -58,7 +59,8 @@
     constructor(private readonly options: RelayTaskOptions) {}
 
     start(): void {
-        this.timer = setInterval(() => this.tick(), tickIntervalMs);
+        const { faults } = this.options;
+        this.timer = setInterval(() => faults.run("relay-timer", {}, () => this.tick()), tickIntervalMs);
     }
 
     stop(): void {
@@ -148,6 +150,7 @@
         const connection = followNode(node.address, {
             onState: state => this.handlePeerState(name, state),
             onContent: content => this.handleContent(name, content),
+            onFault: ({ kind }, error) => this.options.faults.record("frame", { peer: name, kind }, error),
             onLost: reason => {
                 this.followedPeers.delete(name);
                 this.options.selection.markLost(name);
@@ -174,7 +177,8 @@
             return;
         }
         if (configurationCollection.isCurrent || !selection.isSource(name)) {
-            setTimeout(() => this.fetchMissing(peer), localWatchDelayMs);
+            const { faults } = this.options;
+            setTimeout(() => faults.run("fetch-timer", { peer: name }, () => this.fetchMissing(peer)), localWatchDelayMs);
         }
         else {
             this.fetchMissing(peer);
--- a/daemons/sidecar/src/tasks/targetTask.ts
+++ b/daemons/sidecar/src/tasks/targetTask.ts
@@ -13,7 +13,7 @@
 import type { LocalTarget, TargetDeparture } from "@bilberrycroft/coordination.registration";
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import { assertNever } from "@bilberrycroft/core.errors";
-import type { EventLog } from "@bilberrycroft/core.eventLog";
+import type { EventLog, FaultBarrier } from "@bilberrycroft/core.eventLog";
 import { CallReason } from "@bilberrycroft/protocol.calls";
 import {
     type AnnouncedCrash,
@@ -35,6 +35,7 @@
     readonly client: TargetClient;
     readonly codec: CallHeaderCodec;
     readonly log: EventLog;
+    readonly faults: FaultBarrier;
     readonly targetAddress: string;
     /** Paces large responses to the bandwidth of the link. */
     readonly pacer: ResponsePacer;
@@ -107,7 +108,10 @@
     }
 
     start(): void {
-        this.availabilityTimer = setInterval(() => this.updateAvailability(), availabilityCheckIntervalMs);
+        this.availabilityTimer = setInterval(
+            () => this.options.faults.run("availability-timer", {}, () => this.updateAvailability()),
+            availabilityCheckIntervalMs,
+        );
     }
 
     stop(): void {
@@ -171,6 +175,12 @@
     }
 
     handleOffer(incoming: IncomingOffer): void {
+        const { callId: call, route } = incoming.message.offer;
+        this.options.faults.run("offer", { call, route }, () => this.acceptOffer(incoming), () =>
+            this.refuse(incoming, CallReason.NoTarget, 0));
+    }
+
+    private acceptOffer(incoming: IncomingOffer): void {
         const { offer, state } = incoming.message;
         this.options.handlePeerVersions(state);
         const reason = this.findRefusalReason(offer);
@@ -259,7 +269,13 @@
         }
         clearTimeout(pending.bodyTimer);
         this.pending.delete(key);
-        void this.runCall(key, pending, body);
+        const { incoming } = pending;
+        const { callId, route } = incoming.message.offer;
+        void this.options.faults.runAsync("target-call", { call: callId, route }, () => this.runCall(key, pending, body), () => {
+            this.running.delete(callId);
+            incoming.reportLoss({ reason: CallReason.AnswerLost, report: this.createReport(route) });
+            this.handleFinished(key, RunResult.Broken);
+        });
     }
 
     private async runCall(key: string, { incoming, deadlineAt }: PendingOffer, body: Buffer): Promise<void> {
@@ -307,7 +323,7 @@
         if (this.queueTimer === undefined && this.options.queue.queuedCalls > 0) {
             this.queueTimer = setTimeout(() => {
                 this.queueTimer = undefined;
-                this.applyQueueEvents(this.options.queue.advance());
+                this.options.faults.run("queue-timer", {}, () => this.applyQueueEvents(this.options.queue.advance()));
                 this.scheduleExpiry();
             }, queueExpiryIntervalMs);
         }
@@ -363,7 +379,8 @@
     private handleBrokenConnection(connection: BrokenConnection): void {
         this.brokenConnections.push({ ...connection, at: this.options.clock.wallTime() });
         if (this.brokenConnections.length === 1) {
-            setTimeout(() => void this.checkForCrash(), crashProbeDelayMs);
+            const check = (): Promise<void> => this.checkForCrash();
+            setTimeout(() => void this.options.faults.runAsync("crash-check", {}, check), crashProbeDelayMs);
         }
     }
 
--- a/daemons/sidecar/test/collectionTask.test.ts
+++ b/daemons/sidecar/test/collectionTask.test.ts
@@ -1,5 +1,5 @@
 import { ManualClock } from "@bilberrycroft/core.clock";
-import { EventLog } from "@bilberrycroft/core.eventLog";
+import { EventLog, FaultBarrier } from "@bilberrycroft/core.eventLog";
 import { createSeededRandom } from "@bilberrycroft/core.random";
 import {
     type CollectionRead,
@@ -71,7 +71,9 @@
         };
         const log = new EventLog({ clock, common: {}, sink });
         const random = createSeededRandom(1);
-        task = new CollectionTask({ name: "nodes", collection, clock, random, log, batchDelayMs: 0, decode: value => value });
+        const faults = new FaultBarrier(log);
+        const decode = (value: unknown): unknown => value;
+        task = new CollectionTask({ name: "nodes", collection, clock, random, log, faults, batchDelayMs: 0, decode });
         task.start();
     });
     afterEach(() => task.stop());
--- a/transport/forwarding/src/followClient.ts
+++ b/transport/forwarding/src/followClient.ts
@@ -15,12 +15,13 @@
     type ReceivedContent,
 } from "@bilberrycroft/protocol.forwarding";
 import { splitAddress } from "@bilberrycroft/transport.calls";
-import { FrameConnection } from "./frameConnection";
+import { FrameConnection, type FrameFaultHandler } from "./frameConnection";
 
 /** Receives the messages of a followed node. */
 export interface FollowObserver {
     onState(state: PeerState): void;
     onContent(content: ReceivedContent): void;
+    onFault: FrameFaultHandler;
     /** The connection could not be established or broke. Not called after `close`. */
     onLost(reason: string): void;
 }
@@ -39,6 +40,7 @@
                 connection.close();
             }
         },
+        onFault: observer.onFault,
         onClosed: reason => {
             if (isOpen) {
                 observer.onLost(reason);
--- a/transport/forwarding/src/frameConnection.ts
+++ b/transport/forwarding/src/frameConnection.ts
@@ -7,10 +7,15 @@
 /** Receives the events of a connection. */
 export interface FrameObserver {
     onFrame(frame: Frame): void;
+    /** Called if `onFrame` throws; the frame is dropped and the connection continues. */
+    onFault(frame: Frame, error: unknown): void;
     /** Called once, when the connection ends, cannot be established or receives malformed frames. */
     onClosed(reason: string): void;
 }
 
+/** Handles an exception that a frame has caused. */
+export type FrameFaultHandler = (frame: Frame, error: unknown) => void;
+
 /** Sends frames over a socket and decodes received ones. */
 export class FrameConnection {
     private readonly reader = new FrameReader();
@@ -40,7 +45,16 @@
             this.socket.destroy();
             return;
         }
-        frames.forEach(frame => this.observer.onFrame(frame));
+        frames.forEach(frame => this.dispatch(frame));
+    }
+
+    private dispatch(frame: Frame): void {
+        try {
+            this.observer.onFrame(frame);
+        }
+        catch (error) {
+            this.observer.onFault(frame, error);
+        }
     }
 
     private handleClosed(reason: string): void {
--- a/transport/forwarding/src/offerListener.ts
+++ b/transport/forwarding/src/offerListener.ts
@@ -19,7 +19,7 @@
     type Refusal,
 } from "@bilberrycroft/protocol.forwarding";
 import type { ResponsePacer, PacedResponse } from "./responsePacer";
-import { FrameConnection } from "./frameConnection";
+import { FrameConnection, type FrameFaultHandler } from "./frameConnection";
 
 /** Receives the events of an incoming offer. */
 export interface IncomingOfferObserver {
@@ -55,6 +55,7 @@
     /** Paces large responses. */
     readonly pacer: ResponsePacer;
     handleOffer(offer: IncomingOffer): void;
+    handleFault: FrameFaultHandler;
     /** Creates the report for a node that requests it without making a call. */
     createReport(): NodeReport;
     /** Called when another node subscribes to the state of this node. */
@@ -109,6 +110,7 @@
     constructor(socket: Socket, private readonly options: OfferListenerOptions) {
         this.connection = new FrameConnection(socket, {
             onFrame: frame => this.handleFrame(frame),
+            onFault: options.handleFault,
             onClosed: () => this.handleClosed(),
         });
         socket.on("drain", () => this.offers.forEach(offer => offer.handleDrain()));
--- a/transport/forwarding/src/peerClient.ts
+++ b/transport/forwarding/src/peerClient.ts
@@ -20,7 +20,7 @@
     type Refusal,
 } from "@bilberrycroft/protocol.forwarding";
 import { splitAddress } from "@bilberrycroft/transport.calls";
-import { FrameConnection } from "./frameConnection";
+import { FrameConnection, type FrameFaultHandler } from "./frameConnection";
 
 /** Receives the events of an offer. */
 export interface OfferObserver {
@@ -60,6 +60,8 @@
 export class PeerClient {
     private readonly channels = new Map<string, Channel>();
 
+    constructor(private readonly handleFault: FrameFaultHandler) {}
+
     offer({ address, isBulk, message, observer }: OfferRequest): OfferInProgress {
         return this.getChannel(address, isBulk).offer(message, observer);
     }
@@ -67,7 +69,7 @@
     /** Requests a node's report over a new connection; resolves to `undefined` if the node does not respond in time. */
     requestReport(address: string, timeoutMs: Milliseconds): Promise<NodeReport | undefined> {
         return new Promise(resolve => {
-            const channel = new Channel(address, () => undefined);
+            const channel = new Channel(address, () => undefined, this.handleFault);
             const finish = (report: NodeReport | undefined): void => {
                 clearTimeout(timer);
                 channel.close();
@@ -112,7 +114,7 @@
             if (this.channels.get(key) === created) {
                 this.channels.delete(key);
             }
-        });
+        }, this.handleFault);
         this.channels.set(key, created);
         return created;
     }
@@ -131,9 +133,10 @@
     private framesReceived = 0;
     private isRetired = false;
 
-    constructor(readonly address: string, private readonly onClosed: () => void) {
+    constructor(readonly address: string, private readonly onClosed: () => void, onFault: FrameFaultHandler) {
         this.connection = new FrameConnection(connect({ ...splitAddress(address), noDelay: true }), {
             onFrame: frame => this.handleFrame(frame),
+            onFault,
             onClosed: reason => this.handleBroken(reason),
         });
     }
--- a/transport/forwarding/test/offerListener.test.ts
+++ b/transport/forwarding/test/offerListener.test.ts
@@ -86,6 +86,9 @@
                 offer.observe({ onBody: () => undefined, onWithdrawn: () => undefined });
                 offers.push(offer);
             },
+            handleFault: (_, error) => {
+                throw error;
+            },
             createReport: () => report,
             onFollowerConnected: () => undefined,
             onFollowerDisconnected: () => undefined,
