Handle signals from the start of the sidecar on

Seen by the review: SIGHUP within 0.1 s of a start ended the process, since handlers were set once the listeners stood.

The first tens of milliseconds, in which Node.js runs no line of the program, stay as they are.

Test: 'outlives SIGHUP before it has read its settings' (platform/test/main.test.ts) failed before, the process had ended, and passes.

--- a/scripts/launcher.cjs
+++ b/scripts/launcher.cjs
@@ -3,6 +3,10 @@
  * take longer than everything else that a process does until it is ready.
  */
 "use strict";
+// Without a handler, a reload of the settings before the bundle handles the signal would end the process.
+const ignoreReload = () => undefined;
+process.on("SIGHUP", ignoreReload);
+
 const { readFileSync } = require("node:fs");
 const { Script } = require("node:vm");
 
