Give the bodies of all calls a budget of the process's memory

Seen by the review: processes at 205 to 330 MB of 200 MB with many bodies without end, which the platform ends.

Cause: each call had limits of its own (1 MiB buffered, 16 MiB unsent, 2 MiB from the target); their sum had none.

Change: BufferBudget counts the bodies that a process holds for its callers, the pacer what it holds of its target's responses; each may take an eighth of the process's memory. While one is exhausted, responses are streamed after 64 KiB, callers that do not read are cut at 512 KiB, reading from the target pauses at 64 KiB, and a request with a body is refused as not run before it is read. An unsent backlog of 1 MiB on a connection to another node pauses reading, 2 MiB before.

--- a/coordination/forwarding/src/index.ts
+++ b/coordination/forwarding/src/index.ts
@@ -3,6 +3,7 @@
  */
 export * from "./callerAges";
 export * from "./responseSizes";
+export * from "./bufferBudget";
 export * from "./callPlan";
 export * from "./callPlanTypes";
 export * from "./routeLatencyTable";
--- a/daemons/sidecar/src/calls/callerCall.ts
+++ b/daemons/sidecar/src/calls/callerCall.ts
@@ -37,6 +37,8 @@
 export class CallerCall {
     private readonly attempts = new Map<number, AttemptState>();
     private readonly responses = new Map<number, IncomingResponse>();
+    /** Responses that have begun to arrive and are not being delivered. */
+    private readonly received = new Set<IncomingResponse>();
     private readonly targets = new Map<number, string>();
     private readonly timers = new Set<NodeJS.Timeout>();
     private streaming: AttemptState | undefined;
@@ -266,7 +268,8 @@
     private handleResponseStart(attempt: number, head: ResponseHead): void {
         const state = this.recordReport(attempt, head.report);
         if (state !== undefined) {
-            state.response = new IncomingResponse(head);
+            state.response = new IncomingResponse(head, this.services.bufferBudget);
+            this.received.add(state.response);
         }
     }
 
@@ -283,6 +286,7 @@
         if (response.exceedsBuffer && this.streaming === undefined && !this.plan.hasEnded) {
             // From here on no other attempt can provide the response.
             this.streaming = state;
+            this.received.delete(response);
             response.startStreaming(this.call.response);
             this.perform(this.plan.handleAttemptEnd(attempt, { kind: AttemptEndKind.Answered }));
         }
@@ -373,6 +377,7 @@
     }
 
     private deliver(attempt: number, response: IncomingResponse): void {
+        this.received.delete(response);
         response.deliver(this.call.response, this.call.request.method);
         this.end({
             outcome: CallOutcome.Done,
@@ -401,6 +406,8 @@
     private end(end: Omit<CallEnd, "attempts">): void {
         this.timers.forEach(timer => clearTimeout(timer));
         this.timers.clear();
+        this.received.forEach(response => response.discard());
+        this.received.clear();
         this.finish({ ...end, attempts: this.targets.size });
     }
 
--- a/daemons/sidecar/src/calls/callerCallTypes.ts
+++ b/daemons/sidecar/src/calls/callerCallTypes.ts
@@ -2,7 +2,7 @@
  * Input, result and dependencies of a caller's call.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { TargetDirectory } from "@bilberrycroft/coordination.forwarding";
+import type { BufferBudget, TargetDirectory } from "@bilberrycroft/coordination.forwarding";
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import type { EventLog, FaultBarrier } from "@bilberrycroft/core.eventLog";
 import type { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
@@ -16,6 +16,8 @@
     readonly client: PeerClient;
     readonly codec: CallHeaderCodec;
     readonly directory: TargetDirectory;
+    /** Shared by the bodies of all requests and responses. */
+    readonly bufferBudget: BufferBudget;
     readonly log: EventLog;
     readonly faults: FaultBarrier;
     /** Returns the newest versions that this node has. */
--- a/daemons/sidecar/src/calls/incomingResponse.ts
+++ b/daemons/sidecar/src/calls/incomingResponse.ts
@@ -5,12 +5,19 @@
  * A response over the buffer limit is streamed instead.
  */
 import type { ServerResponse } from "node:http";
+import type { BufferAccount, BufferBudget } from "@bilberrycroft/coordination.forwarding";
 import type { ResponseHead, ForwardedHeaders } from "@bilberrycroft/protocol.forwarding";
 
-/** Larger responses are streamed. */
-const maxBufferedBytes = 1_048_576;
-/** Limit of unsent bytes for a caller that reads slowly. */
-const maxUnsentBytes = 16_777_216;
+/** Limits of one response, with and without room in the budget of the process. */
+interface BufferLimits {
+    /** Larger responses are streamed. */
+    readonly maxBufferedBytes: number;
+    /** Unsent bytes for a caller that reads slowly, beyond which the response is cut. */
+    readonly maxUnsentBytes: number;
+}
+
+const usualLimits: BufferLimits = { maxBufferedBytes: 1_048_576, maxUnsentBytes: 16_777_216 };
+const limitsWithoutRoom: BufferLimits = { maxBufferedBytes: 65_536, maxUnsentBytes: 524_288 };
 
 const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
 
@@ -18,8 +25,11 @@
     private readonly chunks: Buffer[] = [];
     private receivedBytes = 0;
     private callerResponse: ServerResponse | undefined;
+    private readonly account: BufferAccount;
 
-    constructor(readonly head: ResponseHead) {}
+    constructor(readonly head: ResponseHead, private readonly budget: BufferBudget) {
+        this.account = budget.open();
+    }
 
     /** Bytes of the body received so far. */
     get bytes(): number {
@@ -28,7 +38,7 @@
 
     /** Whether the response has exceeded the buffer limit. */
     get exceedsBuffer(): boolean {
-        return this.receivedBytes > maxBufferedBytes;
+        return this.receivedBytes > this.limits.maxBufferedBytes;
     }
 
     /** Adds a chunk of the body; returns `false` if the caller reads too slowly. */
@@ -36,15 +46,28 @@
         this.receivedBytes += data.length;
         if (this.callerResponse === undefined) {
             this.chunks.push(data);
+            this.account.set(this.receivedBytes);
             return true;
         }
         this.callerResponse.write(data);
-        return this.callerResponse.writableLength <= maxUnsentBytes;
+        this.account.set(this.callerResponse.writableLength);
+        return this.callerResponse.writableLength <= this.limits.maxUnsentBytes;
+    }
+
+    /** Gives the bytes of a response that is not delivered back to the budget. */
+    discard(): void {
+        this.chunks.length = 0;
+        this.account.set(0);
+    }
+
+    private get limits(): BufferLimits {
+        return this.budget.isExhausted ? limitsWithoutRoom : usualLimits;
     }
 
     /** Sends the buffered chunks and streams all later ones. */
     startStreaming(response: ServerResponse): void {
         this.callerResponse = response;
+        this.releaseWhenClosed(response);
         response.writeHead(this.head.status, this.head.headers);
         this.chunks.forEach(chunk => response.write(chunk));
         this.chunks.length = 0;
@@ -61,6 +84,13 @@
             headers["content-length"] = String(this.receivedBytes);
         }
         response.writeHead(this.head.status, headers);
+        this.releaseWhenClosed(response);
         response.end(Buffer.concat(this.chunks));
+        this.chunks.length = 0;
+    }
+
+    /** The bytes count until the caller has taken them. */
+    private releaseWhenClosed(response: ServerResponse): void {
+        response.once("close", () => this.account.set(0));
     }
 }
--- a/daemons/sidecar/src/settings.ts
+++ b/daemons/sidecar/src/settings.ts
@@ -17,6 +17,8 @@
     readonly processors: number;
     /** Bandwidth of this host's link in one direction; `undefined` if unknown. */
     readonly linkBytesPerSecond: number | undefined;
+    /** Memory that the platform grants to the process; `undefined` if unknown. */
+    readonly memoryBytes: number | undefined;
     readonly heartbeatIntervalMs: Milliseconds;
     /** Time from SIGTERM to SIGKILL. */
     readonly graceMs: Milliseconds;
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -4,7 +4,7 @@
  */
 import { randomInt } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
-import { RetryBudgets, TargetDirectory, TargetQueue } from "@bilberrycroft/coordination.forwarding";
+import { BufferBudget, RetryBudgets, TargetDirectory, TargetQueue } from "@bilberrycroft/coordination.forwarding";
 import { Quarantine, QuarantineReportKind } from "@bilberrycroft/coordination.quarantine";
 import { SourceSelection } from "@bilberrycroft/coordination.relay";
 import { LocalTarget, type TargetDeparture, type TargetHeartbeat } from "@bilberrycroft/coordination.registration";
@@ -41,6 +41,9 @@
 }
 
 const maxSeed = 0x7fffffff;
+/** Shares of the memory of the process for the bodies of calls of callers, and for responses of the target. */
+const bufferedMemoryShare = 0.125;
+const defaultMemoryBytes = 268_435_456;
 const maxConnections = 3_000;
 const maxHeaderBytes = 65_536;
 const requestTimeoutMs: Milliseconds = 60_000;
@@ -63,6 +66,7 @@
     private readonly faults: FaultBarrier;
     private readonly handleFrameFault: FrameFaultHandler;
     private readonly peerClient: PeerClient;
+    private readonly bufferBudget: BufferBudget;
     private readonly pacer: ResponsePacer;
     private readonly targetClient = new TargetClient(this.clock);
     private readonly directory: TargetDirectory;
@@ -88,7 +92,13 @@
         this.faults = new FaultBarrier(log);
         this.handleFrameFault = ({ kind, offerId }, error) => this.faults.record("frame", { kind, offerId }, error);
         this.peerClient = new PeerClient(this.handleFrameFault);
-        this.pacer = new ResponsePacer({ clock, linkBytesPerSecond: settings.linkBytesPerSecond });
+        const bufferBytes = bufferedMemoryShare * (settings.memoryBytes ?? defaultMemoryBytes);
+        this.bufferBudget = new BufferBudget(bufferBytes);
+        this.pacer = new ResponsePacer({
+            clock,
+            linkBytesPerSecond: settings.linkBytesPerSecond,
+            maxQueuedBytes: bufferBytes,
+        });
         const directory = new TargetDirectory({
             clock,
             random: this.random,
@@ -193,6 +203,7 @@
             { name: "target_calls", help: "Calls in the target or waiting for it.", read: () => this.targetTask.inProgress },
             { name: "target_calls_sent", help: "Calls sent to the target since the start.", read: () => this.targetTask.sentCalls },
             { name: "target_request_limit", help: "Calls per second that the target accepts; 0 without a limit.", read: () => this.targetTask.requestLimit },
+            { name: "buffered_bytes", help: "Bytes of requests and responses held for callers.", read: () => this.bufferBudget.used },
             { name: "faults_confined", help: "Exceptions confined to what caused them.", read: () => this.faults.count },
             { name: "log_lines_dropped", help: "Log lines dropped.", read: () => this.options.log.dropped },
         ]);
@@ -250,6 +261,7 @@
             client: this.peerClient,
             codec: platform.headers,
             directory,
+            bufferBudget: this.bufferBudget,
             log,
             faults: this.faults,
             quarantine,
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -41,7 +41,11 @@
 const deadlineMarginMs: Milliseconds = 10;
 /** Maximum time for which a caller waits; also used if the caller does not send its wait time. */
 const maxWaitMs: Milliseconds = 600_000;
-const noConfigurationRetryAfterMs: Milliseconds = 300;
+/** Delays of refusals that precede the body of a request. */
+const retryAfterMsByReason: Readonly<Partial<Record<CallReason, Milliseconds>>> = {
+    [CallReason.NoConfiguration]: 300,
+    [CallReason.Overloaded]: 300,
+};
 /** Shortest retry delay while this process is about to end. */
 const minStopRetryAfterMs: Milliseconds = 300;
 /** Mean response size above which a route's calls use a separate connection. */
@@ -97,15 +101,15 @@
         response: ServerResponse,
         startedAt: Milliseconds,
     ): Promise<void> {
-        const { codec, log, metrics } = this.options;
-        const { table } = this;
+        const { options, table } = this;
+        const { codec, log, metrics } = options;
         const head = codec.readCallerHead(request.headers);
         const refuse = (reason: CallReason, status?: number): void => {
             discardRequestBody(request, cut => log.info("request-cut", { call: head?.callId, reason, cut }));
             const { host } = request.headers;
             log.info("call-refused", { call: head?.callId, host, path: request.url, version: table?.version, reason });
             metrics.recordRefusal(reason);
-            const retryAfterMs = reason === CallReason.NoConfiguration ? noConfigurationRetryAfterMs : undefined;
+            const retryAfterMs = retryAfterMsByReason[reason];
             sendLocalResponse(response, codec, { callId: head?.callId, reason, retryAfterMs, status });
         };
         if (table === undefined) {
@@ -119,6 +123,9 @@
         if (route === undefined) {
             return refuse(CallReason.NoRoute);
         }
+        if (options.bufferBudget.isExhausted && mayHaveBody(request)) {
+            return refuse(CallReason.Overloaded);
+        }
         const body = await readBody(request, table.configuration.callerLimits.maxBodyBytes);
         switch (body.kind) {
             case BodyOutcomeKind.TooLarge:
@@ -165,15 +172,17 @@
         const isFromRepeat = call.parent?.isRepeat === true;
         const planned = { route, service, priority, isInner, isFromRepeat, deadlineAt: call.deadlineAt };
         const plan = new CallPlan(services, planned, this.responseSizes.meanBytes(route.name));
+        const bodyAccount = options.bufferBudget.open();
+        bodyAccount.set(call.body.length);
         const end = await new CallerCall(call, plan, options).run();
+        bodyAccount.set(0);
         this.recordEnd(call, service, end);
     }
 
     private createCall({ request, response, head, route, table, body, startedAt }: ReceivedCall): AcceptedCall {
         const { options } = this;
         const waitMs = Math.min(head.waitMs ?? maxWaitMs, maxWaitMs);
-        const hasBody = body.length > 0 || request.headers["content-length"] !== undefined
-            || request.headers["transfer-encoding"] !== undefined;
+        const hasBody = body.length > 0 || mayHaveBody(request);
         const fingerprint = options.quarantine.computeFingerprint({
             method: request.method ?? "GET",
             path: request.url ?? "/",
@@ -257,6 +266,10 @@
     readonly startedAt: Milliseconds;
 }
 
+function mayHaveBody({ headers }: IncomingMessage): boolean {
+    return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+}
+
 function getHost(request: IncomingMessage): string {
     return (request.headers.host ?? "").replace(/:\d+$/, "");
 }
--- a/transport/forwarding/src/offerListener.ts
+++ b/transport/forwarding/src/offerListener.ts
@@ -191,6 +191,10 @@
 const maxUnpacedBytes = 4_096;
 /** Queued bytes of one response beyond which reading from the target pauses. */
 const maxPacedBytes = 2_097_152;
+/** The same while all responses together have queued what they may. */
+const maxPacedBytesWhenFull = 65_536;
+/** Unsent bytes of a connection beyond which reading from the target pauses. */
+const maxSocketBytes = 1_048_576;
 
 class ConnectionOffer implements IncomingOffer {
     private pacedBytes = 0;
@@ -297,7 +301,8 @@
     }
 
     private isWritable(): boolean {
-        return this.pacedBytes <= maxPacedBytes && this.socket.writableLength <= maxPacedBytes;
+        const limit = this.pacer.isFull ? maxPacedBytesWhenFull : maxPacedBytes;
+        return this.pacedBytes <= limit && this.socket.writableLength <= maxSocketBytes;
     }
 
     private resolveDrainWaiters(): void {
--- a/transport/forwarding/src/responsePacer.ts
+++ b/transport/forwarding/src/responsePacer.ts
@@ -20,6 +20,8 @@
     readonly clock: Clock;
     /** Rate of this node's link. Responses are not paced if it is `undefined`. */
     readonly linkBytesPerSecond: number | undefined;
+    /** Bytes over all responses beyond which each of them may queue little. */
+    readonly maxQueuedBytes: number;
 }
 
 interface QueuedParts {
@@ -48,6 +50,11 @@
             : pacedLinkShare * linkBytesPerSecond / 1_000;
     }
 
+    /** Whether the responses in progress have queued all that they may. */
+    get isFull(): boolean {
+        return this.queuedBytes >= this.options.maxQueuedBytes;
+    }
+
     /** Time until the link has carried all queued and sent parts. */
     get backlogMs(): Milliseconds {
         return this.transmissionTimeMs(this.queuedBytes) + Math.max(0, this.linkBusyUntil - this.options.clock.now());
--- a/transport/forwarding/test/offerListener.test.ts
+++ b/transport/forwarding/test/offerListener.test.ts
@@ -18,6 +18,7 @@
 /** More than a node queues for one response. */
 const largeBytes = 3_145_728;
 const host = "127.0.0.1";
+const maxQueuedBytes = 33_554_432;
 const report: NodeReport = {
     load: {
         availability: TargetAvailability.Serving,
@@ -76,7 +77,7 @@
         warnings = [];
         process.on("warning", recordWarning);
         const port = await findFreePort();
-        pacer = new ResponsePacer({ clock: new SystemClock(), linkBytesPerSecond: undefined });
+        pacer = new ResponsePacer({ clock: new SystemClock(), linkBytesPerSecond: undefined, maxQueuedBytes });
         listener = await startOfferListener({
             host,
             port,
--- a/transport/forwarding/test/responsePacer.test.ts
+++ b/transport/forwarding/test/responsePacer.test.ts
@@ -5,6 +5,7 @@
 const partBytes = 16_384;
 /** 10 Mbit/s. */
 const linkBytesPerSecond = 1_250_000;
+const maxQueuedBytes = 10 * partBytes;
 
 describe("ResponsePacer", () => {
     let clock: ManualClock;
@@ -14,7 +15,7 @@
     beforeEach(() => {
         vi.useFakeTimers();
         clock = new ManualClock();
-        pacer = new ResponsePacer({ clock, linkBytesPerSecond });
+        pacer = new ResponsePacer({ clock, linkBytesPerSecond, maxQueuedBytes });
         sent = [];
     });
     afterEach(() => {
@@ -78,11 +79,24 @@
     });
 
     it("sends everything immediately if the link rate is unknown", () => {
-        pacer = new ResponsePacer({ clock, linkBytesPerSecond: undefined });
+        pacer = new ResponsePacer({ clock, linkBytesPerSecond: undefined, maxQueuedBytes });
         for (let part = 0; part < 1_000; part++) {
             add(String(part));
         }
         expect(sent).toHaveLength(1_000);
         expect(pacer.backlogMs).toBe(0);
     });
+
+    it("is full while all responses together have queued what they may", () => {
+        add("first", { parts: 8 });
+        expect(pacer.isFull).toBe(false);
+        add("second", { parts: 8 });
+        expect(pacer.isFull).toBe(true);
+        for (let elapsedMs = 0; elapsedMs < 1_000; elapsedMs++) {
+            clock.advance(1);
+            vi.advanceTimersByTime(1);
+        }
+        expect(pacer.isFull).toBe(false);
+        expect(sent).toHaveLength(16);
+    });
 });
