Stagger the watches of the two readers of a zone

Seen by the review: a configuration in force 3.1 s after its acknowledgement instead of 2 s, when all open connections to the store had fallen silent 3.1 s before it, just after both readers had begun to watch.

Cause: a watch is given up 6 s after it began, and a change makes both readers of all zones watch anew at the same time, so that they noticed the silence together.

Change: the second reader of a zone waits 2.5 s instead of 5 s in its first watch after each change, list or start of reading, so one of two watches is at least 2.5 s old at any time.

Tests: the waits of a staggered reader (daemons/sidecar/test/collectionTask.test.ts) and one staggered reader of two (coordination/relay/test/sourceSelection.test.ts); both need the new option and have no run before it.

--- a/coordination/relay/src/sourceSelection.ts
+++ b/coordination/relay/src/sourceSelection.ts
@@ -24,6 +24,8 @@
     readonly readsStore: boolean;
     /** The node reads only because it has no other source, so its reads are not urgent. */
     readonly isSubstitute: boolean;
+    /** Another node of the zone reads as well, and this one staggers its watches against those of the other. */
+    readonly isStaggered: boolean;
     /** Nodes that this node follows, with those of its zone first. */
     readonly follows: readonly RelayNode[];
 }
@@ -115,12 +117,14 @@
         const inZone = this.zones.get(this.options.zone) ?? [];
         let readers = 0;
         let readsStore = false;
+        let isStaggered = false;
         for (const candidate of inZone) {
             if (readers >= readersPerZone || follows.length >= maxFollowedPerZone) {
                 break;
             }
             if (candidate.node === this.options.node) {
                 readsStore = true;
+                isStaggered = readers > 0;
                 readers++;
             }
             else if (!this.isLost(candidate.node)) {
@@ -129,10 +133,10 @@
             }
         }
         if (readers > 0 && !readsStore) {
-            return { readsStore, isSubstitute: false, follows };
+            return { readsStore, isSubstitute: false, isStaggered, follows };
         }
         const isSubstitute = !readsStore && follows.length > 0;
-        return { readsStore: true, isSubstitute, follows: [...follows, ...this.chooseInRemoteZones()] };
+        return { readsStore: true, isSubstitute, isStaggered, follows: [...follows, ...this.chooseInRemoteZones()] };
     }
 
     private chooseInRemoteZones(): RelayNode[] {
--- a/coordination/relay/test/sourceSelection.test.ts
+++ b/coordination/relay/test/sourceSelection.test.ts
@@ -42,6 +42,8 @@
     }
 }
 
+const aloneRole = { readsStore: true, isSubstitute: false, isStaggered: false, follows: [] };
+
 describe("SourceSelection", () => {
     let clock: ManualClock;
     const nodes = Array.from({ length: 20 }, (_, index) => createNode(`n${index}`));
@@ -62,6 +64,14 @@
             }
         });
 
+        it("staggers the watches of one of the two readers of a zone", () => {
+            const simulated = new SimulatedNodes(clock, nodes);
+            simulated.settle();
+            const readers = simulated.readers();
+            const staggered = readers.filter(reader => simulated.selections.get(reader)?.decide().isStaggered);
+            expect(staggered).toHaveLength(readers.length / 2);
+        });
+
         it("prefers nodes with more processors", () => {
             const simulated = new SimulatedNodes(clock, [...nodes, createNode("big-1", "z1", 2), createNode("big-2", "z1", 2)]);
             simulated.settle();
@@ -99,14 +109,14 @@
             selection.recordState("early", true);
             expect(selection.decide().readsStore).toBe(false);
             clock.advance(3 * stateIntervalMs);
-            expect(selection.decide()).toEqual({ readsStore: true, isSubstitute: false, follows: [] });
+            expect(selection.decide()).toEqual(aloneRole);
             clock.advance(4 * stateIntervalMs);
             expect(names(selection.decide().follows)).toEqual(["early"]);
         });
 
         it("reads the store while it knows no other node", () => {
             const selection = new SourceSelection({ clock, node: "alone", zone: "z1" });
-            expect(selection.decide()).toEqual({ readsStore: true, isSubstitute: false, follows: [] });
+            expect(selection.decide()).toEqual(aloneRole);
         });
     });
 
--- a/daemons/sidecar/src/tasks/collectionTask.ts
+++ b/daemons/sidecar/src/tasks/collectionTask.ts
@@ -44,6 +44,11 @@
 
 /** Long enough that idle watches cause few calls; bounds the time to detect a store that stops responding. */
 const watchWaitMs: Milliseconds = 5_000;
+/**
+ * First wait of a staggered reader after an event that makes all readers watch anew. If all open connections fall
+ * silent, one of two staggered watches is at least this old, so that the node which holds it notices early.
+ */
+const staggeredWatchWaitMs: Milliseconds = watchWaitMs / 2;
 /** The minimum wait that a store accepts. */
 const firstWatchWaitMs: Milliseconds = 1;
 /** Bounds of the exponential backoff after failed calls; jitter covers the upper half of each delay. */
@@ -63,6 +68,9 @@
     private readonly table = new ObjectTable();
     private isReading = true;
     private isSubstitute = false;
+    private isStaggered = false;
+    /** Whether the next watch is the first since an event that makes all readers watch anew. */
+    private hasRestarted = true;
     /** Whether the next call lists the whole collection. */
     private needsRead = true;
     private isReachable = true;
@@ -107,16 +115,18 @@
     }
 
     /**
-     * Sets whether this node reads the store, and whether it does so only as a substitute for other readers. Until the
-     * collection has content, the node reads the store in any case.
+     * Sets whether this node reads the store, whether it does so only as a substitute for other readers, and whether it
+     * staggers its watches. Until the collection has content, the node reads the store in any case.
      */
-    setReading(isReading: boolean, isSubstitute = false): void {
+    setReading(isReading: boolean, { isSubstitute = false, isStaggered = false } = {}): void {
         this.isSubstitute = isSubstitute;
+        this.isStaggered = isStaggered;
         if (this.isReading === isReading) {
             return;
         }
         this.isReading = isReading;
         this.hasStoreResponded = false;
+        this.hasRestarted = true;
         if (isReading) {
             this.wake();
         }
@@ -197,6 +207,7 @@
         switch (outcome.kind) {
             case StoreOutcomeKind.Done:
                 this.needsRead = false;
+                this.hasRestarted = true;
                 this.recordStoreResponse();
                 if (this.table.replaceAll(outcome.objects.map(object => this.decodeObject(object)), outcome.revision)) {
                     this.publishContent();
@@ -219,7 +230,7 @@
         this.behindSince = undefined;
         const after = this.table.revision;
         // The first watch returns immediately and confirms that the store responds.
-        const waitMs = this.hasStoreResponded ? watchWaitMs : firstWatchWaitMs;
+        const waitMs = this.hasStoreResponded ? this.chooseWaitMs() : firstWatchWaitMs;
         const outcome = await this.options.collection.watch({ after, waitMs, signal: controller.signal });
         this.watchController = undefined;
         if (controller.signal.aborted) {
@@ -233,6 +244,7 @@
                     outcome.revision,
                 );
                 if (outcome.changes.length > 0) {
+                    this.hasRestarted = true;
                     this.publishContent();
                     await sleep(this.options.batchDelayMs);
                 }
@@ -253,6 +265,12 @@
         }
     }
 
+    private chooseWaitMs(): Milliseconds {
+        const isFirst = this.hasRestarted;
+        this.hasRestarted = false;
+        return isFirst && this.isStaggered ? staggeredWatchWaitMs : watchWaitMs;
+    }
+
     private decodeObject({ name, revision, value }: CollectionObject): CollectionObject {
         const { faults, decode } = this.options;
         let decoded: unknown;
--- a/daemons/sidecar/src/tasks/relayTask.ts
+++ b/daemons/sidecar/src/tasks/relayTask.ts
@@ -123,9 +123,9 @@
     /** Applies the current decision of the source selection. */
     private updateRole(): void {
         const { selection, configurationCollection, nodeCollection, log } = this.options;
-        const { readsStore, isSubstitute, follows } = selection.decide();
-        configurationCollection.setReading(readsStore, isSubstitute);
-        nodeCollection.setReading(readsStore, isSubstitute);
+        const { readsStore, isSubstitute, isStaggered, follows } = selection.decide();
+        configurationCollection.setReading(readsStore, { isSubstitute, isStaggered });
+        nodeCollection.setReading(readsStore, { isSubstitute, isStaggered });
         const desired = new Map(follows.map(node => [node.node, node]));
         for (const [name, { node, connection }] of this.followedPeers) {
             if (desired.get(name)?.address !== node.address) {
--- a/daemons/sidecar/test/collectionTask.test.ts
+++ b/daemons/sidecar/test/collectionTask.test.ts
@@ -2,6 +2,7 @@
 import { EventLog, FaultBarrier } from "@bilberrycroft/core.eventLog";
 import { createSeededRandom } from "@bilberrycroft/core.random";
 import {
+    type CollectionChange,
     type CollectionRead,
     type CollectionWatch,
     type CollectionWatchRequest,
@@ -19,6 +20,10 @@
     watchCount = 0;
     revision = 1;
     isUnavailable = false;
+    /** Wait times of the watches that did not return immediately. */
+    readonly waits: number[] = [];
+    /** Ends the watch in progress. */
+    endWatch: (changes: readonly CollectionChange[]) => void = () => undefined;
 
     read(): Promise<CollectionRead> {
         this.readCount++;
@@ -36,8 +41,11 @@
         if (waitMs === 1) {
             return Promise.resolve({ kind: StoreOutcomeKind.Done, changes: [], revision: after });
         }
+        this.waits.push(waitMs);
         return new Promise(resolve => {
             signal?.addEventListener("abort", () => resolve(createUnavailableOutcome("aborted")));
+            this.endWatch = changes =>
+                resolve({ kind: StoreOutcomeKind.Done, changes, revision: after + changes.length });
         });
     }
 
@@ -93,6 +101,22 @@
             expect(events).toContain("watch-silent");
         });
 
+        // Guards against watches of both readers that began together and fall silent together.
+        it.each([
+            { isStaggered: true, waits: [2_500, 5_000, 2_500, 5_000] },
+            { isStaggered: false, waits: [5_000, 5_000, 5_000, 5_000] },
+        ])("shortens its first watch after each change if it is staggered: $isStaggered", async ({ isStaggered, waits }) => {
+            task.setReading(false);
+            task.setReading(true, { isStaggered });
+            const change = { object: { name: "b", revision: 2, value: {} }, isRemoved: false };
+            const previous = collection.waits.length;
+            for (const [index, changes] of [[], [change], [], []].entries()) {
+                await waitForCondition(() => collection.waits.length === previous + index + 1);
+                collection.endWatch(changes);
+            }
+            expect(collection.waits.slice(previous, previous + waits.length)).toEqual(waits);
+        });
+
         it("is not current before the store has responded", async () => {
             await waitForCondition(() => collection.watchCount === 1);
             task.setReading(false);
