--- a/daemons/node/test/faultMatrix/faultMatrix.test.ts
+++ b/daemons/node/test/faultMatrix/faultMatrix.test.ts
@@ -2,6 +2,7 @@
 import { resolve } from "node:path";
 import { describe, expect, it } from "vitest";
 import { CellKind } from "./cells";
+import { oddInputs } from "./oddInputs";
 import { listCells, renderPage } from "./page";
 import { proofs } from "./proofs";
 
@@ -18,6 +19,10 @@
         expect(source).not.toMatch(/\b(?:it|describe)\.(?:skip|todo|only)\b/);
     });
 
+    it.each(oddInputs)("names a test that exists: $input, from a $from", ({ file, test }) => {
+        expect(readFileSync(resolve(root, file), "utf8")).toContain(test);
+    });
+
     it("uses each proof in at least one cell", () => {
         const unused = Object.entries(proofs).filter(([, proof]) => !proved.includes(proof)).map(([name]) => name);
         expect(unused).toEqual([]);
--- /dev/null
+++ b/daemons/node/test/faultMatrix/oddInputs.ts
@@ -0,0 +1,54 @@
+/**
+ * Odd input of others, and the tests that play it.
+ */
+
+export interface OddInput {
+    readonly from: string;
+    readonly input: string;
+    readonly file: string;
+    /** Part of the test file that names the test. */
+    readonly test: string;
+}
+
+const calls = "platform/test/calls.test.ts";
+const endless = "platform/test/endless.test.ts";
+const invalidHeaders = "platform/test/invalidHeaders.test.ts";
+const malformed = "daemons/node/test/malformed.test.ts";
+const otherWriters = "platform/test/otherWriters.test.ts";
+const messages = "protocol/forwarding/test/messages.test.ts";
+const silentLink = "platform/test/silentLink.test.ts";
+
+function createInput(from: string, input: string, file: string, test: string): OddInput {
+    return { from, input, file, test };
+}
+
+export const oddInputs: readonly OddInput[] = [
+    createInput("target", "header name that cannot be sent", invalidHeaders, "fails that call alone, and the log names the header"),
+    createInput("target", "header without a name", calls, "TargetBehaviour.EmptyHeaderName"),
+    createInput("target", "bytes that are no response", calls, "TargetBehaviour.Malformed"),
+    createInput("target", "head without end", endless, "TargetBehaviour.EndlessHeaders"),
+    createInput("target", "body without end", endless, "in the body of a response"),
+    createInput("target", "body of a refusal without end", endless, "in the body of a refusal"),
+    createInput("target", "body of a failure without end", endless, "in the body of a failure"),
+    createInput("target", "bytes after a response without end", endless, "after a complete response"),
+    createInput("target", "many bodies without end at once", "platform/test/memory.test.ts", "stays within its limit"),
+    createInput("target", "crash within a response", calls, "within the response"),
+    createInput("target", "crash within a streamed response", calls, "within a streamed response"),
+    createInput("target", "crash within a refusal", calls, "within a refusal are quarantined"),
+    createInput("caller", "header name that cannot be sent", invalidHeaders, "is refused with 400 before it reaches a target"),
+    createInput("caller", "header name that cannot be sent, to `daemons/node`", malformed, "header name with a space"),
+    createInput("caller", "refused request without end", "transport/calls/test/discarding.test.ts", "its sender gets the response"),
+    createInput("other writer", "port out of range in an entry", otherWriters, "a port above 65535"),
+    createInput("other writer", "deeply nested entry", otherWriters, "a deeply nested value"),
+    createInput("other writer", "number too large in an entry", otherWriters, "too large a number of slots"),
+    createInput("other writer", "text of a megabyte in an entry", otherWriters, "an identifier of a megabyte"),
+    createInput("other writer", "crashes at impossible times", otherWriters, "with crashes at impossible times"),
+    createInput("other writer", "more changes than one response holds", otherWriters, "that adds more in one go"),
+    createInput("other writer", "number too large in a heartbeat", otherWriters, "Sequence: 1e300"),
+    createInput("other writer", "state that is the name of a property", otherWriters, "State: \"constructor\""),
+    createInput("other writer", "departure that cannot be read", otherWriters, "does not let the target depart"),
+    createInput("other node", "head that cannot be sent on", messages, "with a field that cannot be sent on"),
+    createInput("other node", "any value in any field", messages, "with any value in any place"),
+    createInput("other node", "connection that falls silent for good", silentLink, "for good (%s)"),
+    createInput("other node", "frozen while a response is streamed", silentLink, "ends the response at the timeout of the route"),
+];
--- a/daemons/node/test/faultMatrix/page.ts
+++ b/daemons/node/test/faultMatrix/page.ts
@@ -2,6 +2,7 @@
  * Renders docs/fault-matrix.md from the table.
  */
 import { CellKind, Fault, type Invariant, invariantsByStep, Step, toCell } from "./cells";
+import { oddInputs } from "./oddInputs";
 import { faultMatrix } from "./table";
 
 const introduction = `# Fault matrix
@@ -57,10 +58,17 @@
     return `- ${invariant}: ${state}; ${coverage}${missing === "" ? "" : `; cells without a test: ${missing}`}`;
 }
 
+function renderOddInputs(): string {
+    const rows = oddInputs.map(({ from, input, file, test }) => `| ${from} | ${input} | \`${file}\`: ${test} |`);
+    return ["| from | input | test |", "| --- | --- | --- |", ...rows].join("\n");
+}
+
 export function renderPage(): string {
     return [
         introduction,
         ...Object.values(Fault).map(fault => `${renderFault(fault)}\n`),
+        "## Odd input of others\n",
+        `${renderOddInputs()}\n`,
         "## Points of section 2.2\n",
         ...invariants.map(renderInvariant),
         "",
