--- a/daemons/sidecar/src/calls/callerCall.ts
+++ b/daemons/sidecar/src/calls/callerCall.ts
@@ -60,25 +60,34 @@
         });
     }
 
-    /** An unexpected exception ends this call alone. It may have run. */
+    /** An unexpected exception ends this call alone. */
     private guard(run: () => void): void {
-        const { call, services } = this;
-        services.faults.run("caller-call", { call: call.callId, route: call.route }, run, () => {
-            for (const [attempt, state] of [...this.attempts]) {
-                this.removeAttempt(attempt, state);
-                state.handle.withdraw();
-            }
-            this.streaming = undefined;
-            this.respondLocally(CallOutcome.Unknown, CallReason.AnswerLost, undefined);
-        });
+        try {
+            run();
+        }
+        catch (error) {
+            const { call, services: { faults } } = this;
+            const fields = { call: call.callId, route: call.route };
+            faults.record("caller-call", fields, error);
+            faults.run("caller-call-recovery", fields, () => this.abort());
+        }
+    }
+
+    /** Withdraws everything and responds that the call may have run. */
+    private abort(): void {
+        for (const [attempt, state] of [...this.attempts]) {
+            this.removeAttempt(attempt, state);
+            state.handle.withdraw();
+        }
+        this.streaming = undefined;
+        this.respondLocally(CallOutcome.Unknown, CallReason.AnswerLost, undefined);
     }
 
     /** The plan ends when streaming begins, so a streamed response needs its own end at the deadline. */
     private handleDeadline(): void {
         const { streaming } = this;
         if (streaming === undefined) {
-            this.perform(this.plan.handleDeadline());
-            return;
+            return this.perform(this.plan.handleDeadline());
         }
         this.abandonStream(streaming, CallReason.TimedOut);
     }
--- a/protocol/calls/src/headerFields.ts
+++ b/protocol/calls/src/headerFields.ts
@@ -4,7 +4,7 @@
  */
 
 /** Header fields as Node's `http` module delivers them. */
-export type HeaderFields = Readonly<Record<string, string | readonly string[] | undefined>>;
+export type HeaderFields = Readonly<Record<string, unknown>>;
 
 /** A token of RFC 9110. */
 const namePattern = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
@@ -12,21 +12,36 @@
 const valuePattern = /^[\t\x20-\x7e\x80-\xff]*$/;
 const maxReportedNameLength = 64;
 
+/** Names found valid. Most calls have the same few headers. */
+const knownNames = new Set<string>();
+const maxKnownNames = 256;
+
 export function isHeaderName(name: string): boolean {
-    return namePattern.test(name);
+    if (knownNames.has(name)) {
+        return true;
+    }
+    const isValid = namePattern.test(name);
+    if (isValid && knownNames.size < maxKnownNames) {
+        knownNames.add(name);
+    }
+    return isValid;
 }
 
-export function isHeaderValue(value: string): boolean {
-    return valuePattern.test(value);
+/** Whether the value can be sent; a list is sent as several fields. */
+export function isHeaderContent(value: unknown): value is string | string[] {
+    return typeof value === "string" ? valuePattern.test(value) : Array.isArray(value) && value.every(isHeaderValue);
 }
 
 /** Describes the first field that HTTP/1.1 does not allow; `undefined` if all are valid. */
 export function describeInvalidHeader(headers: HeaderFields): string | undefined {
-    for (const [name, value] of Object.entries(headers)) {
-        const values = value === undefined || typeof value === "string" ? [value ?? ""] : value;
-        if (!isHeaderName(name) || !values.every(isHeaderValue)) {
+    for (const name in headers) {
+        if (!isHeaderName(name) || !isHeaderContent(headers[name])) {
             return `invalid header ${JSON.stringify(name.slice(0, maxReportedNameLength))}`;
         }
     }
     return undefined;
 }
+
+function isHeaderValue(value: unknown): boolean {
+    return typeof value === "string" && valuePattern.test(value);
+}
--- a/protocol/forwarding/src/messages.ts
+++ b/protocol/forwarding/src/messages.ts
@@ -192,15 +192,7 @@
 }
 
 function parseHeaders(value: unknown): ForwardedHeaders | undefined {
-    if (!isRecord(value) || !Object.values(value).every(isHeaderContent)) {
-        return undefined;
-    }
-    const headers = value as ForwardedHeaders;
-    return describeInvalidHeader(headers) === undefined ? headers : undefined;
-}
-
-function isHeaderContent(value: unknown): value is string | string[] {
-    return typeof value === "string" || (Array.isArray(value) && value.every(item => typeof item === "string"));
+    return isRecord(value) && describeInvalidHeader(value) === undefined ? value as ForwardedHeaders : undefined;
 }
 
 const callReasons: ReadonlySet<unknown> = new Set(Object.values(CallReason));
