Let a stand-in target that writes without end yield to its process

Cause: the process of the clients, targets and links got no turn for 38.8 s. A target whose response has no end wrote in a loop until its socket was full, which it never is while a peer in another process reads, nor after that peer has reset it, which shows in a later turn only. Ruled out: the nodes, whose logs go on, and the machine, with a load average of 8 on 8 cores.

Change: a bounded number of writes in each turn.

--- a/transport/calls/test/discarding.test.ts
+++ b/transport/calls/test/discarding.test.ts
@@ -12,6 +12,7 @@
 
 const host = "127.0.0.1";
 const chunk = Buffer.alloc(16_384);
+const writesPerTurn = 64;
 /** What sockets and streams may hold besides the discarded bytes. */
 const maxBufferedBytes = 16_777_216;
 
@@ -39,9 +40,13 @@
     /** Writes to the connection until it is closed. */
     const writeWithoutEnd = (socket: Socket, bytes: Buffer): void => {
         const writeMore = (): void => {
-            while (!socket.destroyed && socket.write(bytes)) {
+            for (let count = 0; count < writesPerTurn && !socket.destroyed; count++) {
+                if (!socket.write(bytes)) {
+                    return;
+                }
                 sentBytes += bytes.length;
             }
+            setImmediate(writeMore);
         };
         socket.on("error", () => undefined);
         socket.on("drain", () => setImmediate(writeMore));
