--- a/daemons/node/test/faultMatrix/oddInputs.ts
+++ b/daemons/node/test/faultMatrix/oddInputs.ts
@@ -15,6 +15,8 @@
 const invalidHeaders = "platform/test/invalidHeaders.test.ts";
 const malformed = "daemons/node/test/malformed.test.ts";
 const otherWriters = "platform/test/otherWriters.test.ts";
+/** The entries and heartbeats that the test file plays. */
+const otherWriterInputs = "platform/soak/otherWriters.ts";
 const messages = "protocol/forwarding/test/messages.test.ts";
 const silentLink = "platform/test/silentLink.test.ts";
 
@@ -38,14 +40,14 @@
     createInput("caller", "header name that cannot be sent", invalidHeaders, "is refused with 400 before it reaches a target"),
     createInput("caller", "header name that cannot be sent, to `daemons/node`", malformed, "header name with a space"),
     createInput("caller", "refused request without end", "transport/calls/test/discarding.test.ts", "its sender gets the response"),
-    createInput("other writer", "port out of range in an entry", otherWriters, "a port above 65535"),
-    createInput("other writer", "deeply nested entry", otherWriters, "a deeply nested value"),
-    createInput("other writer", "number too large in an entry", otherWriters, "too large a number of slots"),
-    createInput("other writer", "text of a megabyte in an entry", otherWriters, "an identifier of a megabyte"),
+    createInput("other writer", "port out of range in an entry", otherWriterInputs, "a port above 65535"),
+    createInput("other writer", "deeply nested entry", otherWriterInputs, "a deeply nested value"),
+    createInput("other writer", "number too large in an entry", otherWriterInputs, "too large a number of slots"),
+    createInput("other writer", "text of a megabyte in an entry", otherWriterInputs, "an identifier of a megabyte"),
     createInput("other writer", "crashes at impossible times", otherWriters, "with crashes at impossible times"),
     createInput("other writer", "more changes than one response holds", otherWriters, "that adds more in one go"),
-    createInput("other writer", "number too large in a heartbeat", otherWriters, "Sequence: 1e300"),
-    createInput("other writer", "state that is the name of a property", otherWriters, "State: \"constructor\""),
+    createInput("other writer", "number too large in a heartbeat", otherWriterInputs, "Sequence: 1e300"),
+    createInput("other writer", "state that is the name of a property", otherWriterInputs, "State: \"constructor\""),
     createInput("other writer", "departure that cannot be read", otherWriters, "does not let the target depart"),
     createInput("other node", "head that cannot be sent on", messages, "with a field that cannot be sent on"),
     createInput("other node", "any value in any field", messages, "with any value in any place"),
