Do not count responses that arrive for nobody against the budget of buffered bytes

A call that is not repeatable runs on after its caller has left; its response arrived in a buffer that nobody released, so the budget shrank with each such call.

Change: a call discards what it has received when it ends, and keeps nothing that arrives later. The responses of a call that may not be needed move to a class of their own, the state of an attempt to the types.

Test: 'run to their end if not repeatable, and their response is not kept' (platform/test/calls.test.ts) failed before (10,000 bytes stayed counted) and passes.

--- a/daemons/sidecar/src/calls/callerCall.ts
+++ b/daemons/sidecar/src/calls/callerCall.ts
@@ -12,33 +12,15 @@
 import { assertNever } from "@bilberrycroft/core.errors";
 import { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
 import type { Loss, NodeReport, Refusal, ResponseHead } from "@bilberrycroft/protocol.forwarding";
-import type { OfferInProgress } from "@bilberrycroft/transport.forwarding";
-import type { AcceptedCall, CallEnd, CallerServices } from "./callerCallTypes";
-import { IncomingResponse } from "./incomingResponse";
+import type { AcceptedCall, AttemptState, CallEnd, CallerServices } from "./callerCallTypes";
+import type { IncomingResponse } from "./incomingResponse";
 import { limitRetryAfter, sendLocalResponse } from "./localResponses";
-
-interface AttemptState {
-    readonly attempt: number;
-    readonly handle: OfferInProgress;
-    readonly node: string;
-    readonly address: string;
-    readonly target: string;
-    readonly offeredAt: Milliseconds;
-    /** Expected response time when the target was selected. */
-    readonly expectedMs: Milliseconds;
-    isAcknowledged: boolean;
-    isGranted: boolean;
-    response: IncomingResponse | undefined;
-    /** Time at which the newest part of the response arrived. */
-    lastDataAt: Milliseconds;
-    acknowledgeTimer: NodeJS.Timeout | undefined;
-}
+import { UndeliveredResponses } from "./undeliveredResponses";
 
 export class CallerCall {
     private readonly attempts = new Map<number, AttemptState>();
     private readonly responses = new Map<number, IncomingResponse>();
-    /** Responses that have begun to arrive and are not being delivered. */
-    private readonly received = new Set<IncomingResponse>();
+    private readonly undelivered: UndeliveredResponses;
     private readonly targets = new Map<number, string>();
     private readonly timers = new Set<NodeJS.Timeout>();
     private streaming: AttemptState | undefined;
@@ -48,7 +30,9 @@
         private readonly call: AcceptedCall,
         private readonly plan: CallPlan,
         private readonly services: CallerServices,
-    ) {}
+    ) {
+        this.undelivered = new UndeliveredResponses(services.bufferBudget);
+    }
 
     /** Resolves when the call has ended. */
     run(): Promise<CallEnd> {
@@ -277,8 +261,7 @@
     private handleResponseStart(attempt: number, head: ResponseHead): void {
         const state = this.recordReport(attempt, head.report);
         if (state !== undefined) {
-            state.response = new IncomingResponse(head, this.services.bufferBudget);
-            this.received.add(state.response);
+            state.response = this.undelivered.add(head);
         }
     }
 
@@ -295,7 +278,7 @@
         if (response.exceedsBuffer && this.streaming === undefined && !this.plan.hasEnded) {
             // From here on no other attempt can provide the response.
             this.streaming = state;
-            this.received.delete(response);
+            this.undelivered.handOver(response);
             response.startStreaming(this.call.response);
             this.perform(this.plan.handleAttemptEnd(attempt, { kind: AttemptEndKind.Answered }));
         }
@@ -386,7 +369,7 @@
     }
 
     private deliver(attempt: number, response: IncomingResponse): void {
-        this.received.delete(response);
+        this.undelivered.handOver(response);
         response.deliver(this.call.response, this.call.request.method);
         this.end({
             outcome: CallOutcome.Done,
@@ -415,8 +398,7 @@
     private end(end: Omit<CallEnd, "attempts">): void {
         this.timers.forEach(timer => clearTimeout(timer));
         this.timers.clear();
-        this.received.forEach(response => response.discard());
-        this.received.clear();
+        this.undelivered.close();
         this.finish({ ...end, attempts: this.targets.size });
     }
 
--- a/daemons/sidecar/src/calls/callerCallTypes.ts
+++ b/daemons/sidecar/src/calls/callerCallTypes.ts
@@ -7,8 +7,9 @@
 import type { EventLog, FaultBarrier } from "@bilberrycroft/core.eventLog";
 import type { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
 import type { ForwardedHeaders, Offer, StateVersions } from "@bilberrycroft/protocol.forwarding";
-import type { PeerClient } from "@bilberrycroft/transport.forwarding";
+import type { OfferInProgress, PeerClient } from "@bilberrycroft/transport.forwarding";
 import type { CallHeaderCodec } from "../ports";
+import type { IncomingResponse } from "./incomingResponse";
 
 /** Dependencies shared by all calls of a node. */
 export interface CallerServices {
@@ -55,3 +56,21 @@
     readonly attempts: number;
     readonly responseBytes: number;
 }
+
+/** An offer that has not ended. */
+export interface AttemptState {
+    readonly attempt: number;
+    readonly handle: OfferInProgress;
+    readonly node: string;
+    readonly address: string;
+    readonly target: string;
+    readonly offeredAt: Milliseconds;
+    /** Expected response time when the target was selected. */
+    readonly expectedMs: Milliseconds;
+    isAcknowledged: boolean;
+    isGranted: boolean;
+    response: IncomingResponse | undefined;
+    /** Time at which the newest part of the response arrived. */
+    lastDataAt: Milliseconds;
+    acknowledgeTimer: NodeJS.Timeout | undefined;
+}
--- a/daemons/sidecar/src/calls/incomingResponse.ts
+++ b/daemons/sidecar/src/calls/incomingResponse.ts
@@ -24,6 +24,7 @@
 export class IncomingResponse {
     private readonly chunks: Buffer[] = [];
     private receivedBytes = 0;
+    private isDiscarded = false;
     private callerResponse: ServerResponse | undefined;
     private readonly account: BufferAccount;
 
@@ -44,6 +45,9 @@
     /** Adds a chunk of the body; returns `false` if the caller reads too slowly. */
     append(data: Buffer): boolean {
         this.receivedBytes += data.length;
+        if (this.isDiscarded) {
+            return true;
+        }
         if (this.callerResponse === undefined) {
             this.chunks.push(data);
             this.account.set(this.receivedBytes);
@@ -54,8 +58,9 @@
         return this.callerResponse.writableLength <= this.limits.maxUnsentBytes;
     }
 
-    /** Gives the bytes of a response that is not delivered back to the budget. */
+    /** Gives the bytes of a response that is not delivered back to the budget; later ones are not kept. */
     discard(): void {
+        this.isDiscarded = true;
         this.chunks.length = 0;
         this.account.set(0);
     }
