Name the invalid header of a response on every version of Node.js

What was seen: platform/test/invalidHeaders.test.ts, 'in a response', fails on Node 20.20.2. The log says HPE_INVALID_HEADER_TOKEN where it should name the header.

Cause: which invalid fields the parser refuses depends on the version of Node.js. This one refuses a space before the colon, an empty name and control characters itself, so the check of header fields does not see them.

Ruled out: a changed order of checks in the product (the error comes from the parser, before a 'response' event).

Change: the parser's error carries the packet and the position of the error. The line at that position names the header, bounded and escaped as by the check of header fields; without the beginning of the line the code is reported as before. The test of the mesh is unchanged. The check of header fields has a test of its own that no parser takes part in.

--- a/protocol/calls/src/headerFields.ts
+++ b/protocol/calls/src/headerFields.ts
@@ -36,12 +36,17 @@
 export function describeInvalidHeader(headers: HeaderFields): string | undefined {
     for (const name in headers) {
         if (!isHeaderName(name) || !isHeaderContent(headers[name])) {
-            return `invalid header ${JSON.stringify(name.slice(0, maxReportedNameLength))}`;
+            return describeHeader(name);
         }
     }
     return undefined;
 }
 
+/** Names an invalid header for a log line: bounded and escaped. */
+export function describeHeader(name: string): string {
+    return `invalid header ${JSON.stringify(name.slice(0, maxReportedNameLength))}`;
+}
+
 function isHeaderValue(value: unknown): boolean {
     return typeof value === "string" && valuePattern.test(value);
 }
--- a/transport/calls/src/index.ts
+++ b/transport/calls/src/index.ts
@@ -5,3 +5,4 @@
 export * from "./probe";
 export * from "./streaming";
 export * from "./targetClient";
+export * from "./parserErrors";
--- a/transport/calls/src/targetClient.ts
+++ b/transport/calls/src/targetClient.ts
@@ -8,6 +8,7 @@
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import { describeInvalidHeader } from "@bilberrycroft/protocol.calls";
 import { splitAddress } from "./addresses";
+import { describeConnectionError } from "./parserErrors";
 
 const idleConnectionMs: Milliseconds = 20_000;
 // A 1xx status is not final. Node's parser accepts any three digits, but its server throws on a status below 100.
@@ -214,6 +215,6 @@
     }
     return {
         kind: isConnected ? AttemptEventKind.Broken : AttemptEventKind.ConnectFailed,
-        reason: (error as NodeJS.ErrnoException).code ?? error.message,
+        reason: describeConnectionError(error),
     };
 }
