Shared types: organisations in configurations, patches, offers and settings

The parts for keys, quotas and fair sharing need common types before their code.

Without them an incremental patch leaves them unchanged and a complete one has none. A route without allowsAnonymous is refused like one without any other field: it comes from a node of an earlier program, whose complete configurations lack the organisations; the store is read instead. - Problems: a key that two organisations hold (names both, never the key), duplicate or empty names, names that a header cannot carry, invalid numbers. - Offer.organisation, and SidecarSettings.quota, strictRevocation and revocationMs.

Before: none of these fields existed. Nothing reads the new fields yet, so the path of a call is unchanged.

--- a/bench/src/loadModel/meshModel.ts
+++ b/bench/src/loadModel/meshModel.ts
@@ -218,5 +218,6 @@
         maxTargets,
         priority,
         repeatable,
+        allowsAnonymous: false,
     };
 }
--- a/coordination/forwarding/test/fixtures.ts
+++ b/coordination/forwarding/test/fixtures.ts
@@ -14,4 +14,5 @@
     maxTargets: 2,
     priority: 1,
     repeatable: true,
+    allowsAnonymous: false,
 };
--- a/daemons/sidecar/src/settings.ts
+++ b/daemons/sidecar/src/settings.ts
@@ -1,6 +1,16 @@
 import type { SharedRetryBudget } from "@bilberrycroft/coordination.forwarding";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 
+/** Accuracy that a deployment requires of quotas over all nodes. */
+export interface QuotaSettings {
+    /** Length of the windows in which calls are counted. */
+    readonly windowMs: Milliseconds;
+    /** Share by which the calls of a window may exceed the quota. */
+    readonly overage: number;
+    /** Calls by which a window may exceed the quota in addition. */
+    readonly slack: number;
+}
+
 /** Settings of a sidecar, read by an adapter from its platform. */
 export interface SidecarSettings {
     readonly node: string;
@@ -23,4 +33,9 @@
     /** Time from SIGTERM to SIGKILL. */
     readonly graceMs: Milliseconds;
     readonly retryBudget: SharedRetryBudget;
+    /** `undefined` if the deployment has no quotas. */
+    readonly quota: QuotaSettings | undefined;
+    /** Whether a removed key must lose its effect within `revocationMs` also while the store is disrupted. */
+    readonly strictRevocation: boolean;
+    readonly revocationMs: Milliseconds;
 }
--- a/protocol/forwarding/src/messages.ts
+++ b/protocol/forwarding/src/messages.ts
@@ -43,6 +43,8 @@
     readonly fingerprint: string;
     /** Limit that the target named to the caller's node, in calls per second; `undefined` if it named none. */
     readonly targetCallsPerSecond?: number | undefined;
+    /** Name of the organisation that the call belongs to; `undefined` if it belongs to none. */
+    readonly organisation?: string | undefined;
 }
 
 /** An offer together with the head of its call. */
@@ -154,11 +156,12 @@
         return undefined;
     }
     const { target, route, callerService, callId, fingerprint, deadlineMs, objectiveMs, priority } = value;
-    const { bodyBytes, targetCallsPerSecond } = value;
+    const { bodyBytes, targetCallsPerSecond, organisation } = value;
     if (!isText(target) || !isText(route) || !isText(callerService) || !isText(callId) || !isText(fingerprint)
         || !isNumber(deadlineMs) || !isNumber(objectiveMs) || !isNumber(priority)
         || !(bodyBytes === undefined || isNumber(bodyBytes))
-        || !(targetCallsPerSecond === undefined || isNumber(targetCallsPerSecond))) {
+        || !(targetCallsPerSecond === undefined || isNumber(targetCallsPerSecond))
+        || !(organisation === undefined || isText(organisation))) {
         return undefined;
     }
     return {
@@ -172,6 +175,7 @@
         priority,
         bodyBytes,
         targetCallsPerSecond,
+        organisation,
         isInner: value.isInner === true,
         spareOnly: value.spareOnly === true,
         isRepeat: value.isRepeat === true,
--- a/state/routes/src/check.ts
+++ b/state/routes/src/check.ts
@@ -2,7 +2,7 @@
  * Validation of configurations. A configuration with any problem is refused completely.
  */
 import { createRouteKey } from "./patch";
-import type { MeshConfiguration, Route } from "./types";
+import type { MeshConfiguration, Organisation, Route } from "./types";
 
 /** A reason why a configuration is refused. */
 export interface ConfigurationProblem {
@@ -11,6 +11,9 @@
     readonly reason: string;
 }
 
+/** Names that a header can carry unchanged: Latin-1 without control characters and without spaces at either end. */
+const organisationNamePattern = /^[\x21-\x7e\xa0-\xff](?:[\x20-\x7e\xa0-\xff]*[\x21-\x7e\xa0-\xff])?$/;
+
 /** Returns all problems of a configuration. It can be activated if there are none. */
 export function findConfigurationProblems(configuration: MeshConfiguration): readonly ConfigurationProblem[] {
     const services = new Set(configuration.services.map(service => service.name));
@@ -29,9 +32,46 @@
             problems.push({ part: route.name, reason });
         }
     }
+    return [...problems, ...findOrganisationProblems(configuration.organisations)];
+}
+
+function findOrganisationProblems(organisations: readonly Organisation[]): readonly ConfigurationProblem[] {
+    const names = new Set<string>();
+    const holders = new Map<string, string>();
+    const problems: ConfigurationProblem[] = [];
+    organisations.forEach((organisation, index) => {
+        const { name, keys } = organisation;
+        const reason = names.has(name) ? "has the same name as another organisation" : findOrganisationProblem(organisation);
+        const otherHolder = keys.map(key => holders.get(key)).find(holder => holder !== undefined && holder !== name);
+        names.add(name);
+        keys.forEach(key => holders.set(key, name));
+        const part = `organisation ${name === "" ? `number ${index + 1}` : name}`;
+        if (reason !== undefined) {
+            problems.push({ part, reason });
+        }
+        if (otherHolder !== undefined) {
+            problems.push({ part, reason: `has a key that organisation ${otherHolder} has too` });
+        }
+    });
     return problems;
 }
 
+function findOrganisationProblem({ name, keys, priority, callsPerSecond, burst }: Organisation): string | undefined {
+    if (!organisationNamePattern.test(name)) {
+        return name === "" ? "has no name" : "has a name that a header cannot carry";
+    }
+    if (keys.some(key => key === "")) {
+        return "has an empty key";
+    }
+    if (priority !== undefined && !(Number.isSafeInteger(priority) && priority >= 0)) {
+        return "has a priority that is not a non-negative integer";
+    }
+    if (callsPerSecond !== undefined && !(callsPerSecond > 0 && Number.isFinite(callsPerSecond))) {
+        return "has a rate that is not a non-negative number";
+    }
+    return burst >= 0 && Number.isFinite(burst) ? undefined : "has a burst that is not a non-negative number";
+}
+
 function findRouteProblem(route: Route, services: ReadonlySet<string>): string | undefined {
     if (!route.pathPrefix.startsWith("/") || !route.pathPrefix.endsWith("/")) {
         return "has a path prefix that does not begin and end with a slash";
--- a/state/routes/src/patch.ts
+++ b/state/routes/src/patch.ts
@@ -3,7 +3,7 @@
  * previous version needs only a small part of the new one.
  */
 import { isNumber, isRecord, isText, type UncheckedFields } from "@bilberrycroft/core.json";
-import type { CallerLimits, MeshConfiguration, Route, Service, WeightedService } from "./types";
+import type { CallerLimits, MeshConfiguration, Organisation, Route, Service, WeightedService } from "./types";
 
 export interface ConfigurationPatch {
     /** Version that the patch applies to; 0 if it contains the complete configuration. */
@@ -15,6 +15,8 @@
     readonly removed: readonly string[];
     readonly services: readonly Service[];
     readonly callerLimits: CallerLimits;
+    /** All organisations; absent if they are those of the base version, or if a complete configuration has none. */
+    readonly organisations?: readonly Organisation[];
 }
 
 /** Creates a key that identifies a route. No two routes of a configuration have the same host and path prefix. */
@@ -27,7 +29,7 @@
     before: MeshConfiguration | undefined,
     after: MeshConfiguration,
 ): ConfigurationPatch {
-    const { version, services, callerLimits } = after;
+    const { version, services, callerLimits, organisations } = after;
     const previousRoutes = new Map((before?.routes ?? []).map(route => [createRouteKey(route), route]));
     const currentKeys = new Set(after.routes.map(createRouteKey));
     return {
@@ -37,6 +39,7 @@
         removed: [...previousRoutes.keys()].filter(key => !currentKeys.has(key)),
         services,
         callerLimits,
+        ...(hasSameOrganisations(before?.organisations ?? [], organisations) ? {} : { organisations }),
     };
 }
 
@@ -44,9 +47,21 @@
     return before !== undefined && before.name === after.name && before.timeoutMs === after.timeoutMs
         && before.latencyObjectiveMs === after.latencyObjectiveMs && before.maxTargets === after.maxTargets
         && before.priority === after.priority && before.repeatable === after.repeatable
+        && before.allowsAnonymous === after.allowsAnonymous
         && hasSameWeights(before.services, after.services);
 }
 
+function hasSameOrganisations(before: readonly Organisation[], after: readonly Organisation[]): boolean {
+    return before === after || (before.length === after.length && before.every((organisation, index) =>
+        isSameOrganisation(organisation, after[index])));
+}
+
+function isSameOrganisation(before: Organisation, after: Organisation | undefined): boolean {
+    return after !== undefined && before.name === after.name && before.priority === after.priority
+        && before.callsPerSecond === after.callsPerSecond && before.burst === after.burst
+        && before.keys.length === after.keys.length && before.keys.every((key, index) => key === after.keys[index]);
+}
+
 /** Whether both lists have the same services with the same weights in the same order. */
 export function hasSameWeights(before: readonly WeightedService[], after: readonly WeightedService[]): boolean {
     return before.length === after.length && before.every(({ service, weight }, index) =>
@@ -66,7 +81,8 @@
     const routes = new Map(baseRoutes.map(route => [createRouteKey(route), route]));
     patch.removed.forEach(key => routes.delete(key));
     patch.routes.forEach(route => routes.set(createRouteKey(route), route));
-    return { version, routes: [...routes.values()], services, callerLimits };
+    const organisations = patch.organisations ?? (patch.base === 0 ? [] : before?.organisations ?? []);
+    return { version, routes: [...routes.values()], services, callerLimits, organisations };
 }
 
 /** Parses a patch received from another node. Returns `undefined` if any field is missing or has the wrong type. */
@@ -79,9 +95,15 @@
     const services = parseArray(value.services, parseService);
     const callerLimits = parseCallerLimits(value.callerLimits);
     const isRemovedValid = Array.isArray(removed) && removed.every(isText);
-    return routes === undefined || services === undefined || callerLimits === undefined || !isRemovedValid
-        ? undefined
-        : { base, version, routes, removed, services, callerLimits };
+    // Nodes without organisations send no such field.
+    const hasOrganisations = value.organisations !== undefined;
+    const organisations = hasOrganisations ? parseArray(value.organisations, parseOrganisation) : undefined;
+    if (routes === undefined || services === undefined || callerLimits === undefined || !isRemovedValid
+        || (hasOrganisations && organisations === undefined)) {
+        return undefined;
+    }
+    const patch = { base, version, routes, removed, services, callerLimits };
+    return organisations === undefined ? patch : { ...patch, organisations };
 }
 
 function parseArray<Part>(value: unknown, parse: (fields: UncheckedFields) => Part | undefined): Part[] | undefined {
@@ -94,10 +116,30 @@
 
 function parseRoute(fields: UncheckedFields): Route | undefined {
     const { name, host, pathPrefix, timeoutMs, latencyObjectiveMs, maxTargets, priority, repeatable } = fields;
+    const { allowsAnonymous } = fields;
     const services = parseArray(fields.services, parseWeightedService);
     return isText(name) && isText(host) && isText(pathPrefix) && services !== undefined && isNumber(timeoutMs)
         && isNumber(latencyObjectiveMs) && isNumber(maxTargets) && isNumber(priority) && typeof repeatable === "boolean"
-        ? { name, host, pathPrefix, services, timeoutMs, latencyObjectiveMs, maxTargets, priority, repeatable }
+        && typeof allowsAnonymous === "boolean"
+        ? {
+                name,
+                host,
+                pathPrefix,
+                services,
+                timeoutMs,
+                latencyObjectiveMs,
+                maxTargets,
+                priority,
+                repeatable,
+                allowsAnonymous,
+            }
+        : undefined;
+}
+
+function parseOrganisation({ name, keys, priority, callsPerSecond, burst }: UncheckedFields): Organisation | undefined {
+    return isText(name) && Array.isArray(keys) && keys.every(isText) && isNumber(burst)
+        && (priority === undefined || isNumber(priority)) && (callsPerSecond === undefined || isNumber(callsPerSecond))
+        ? { name, keys, priority, callsPerSecond, burst }
         : undefined;
 }
 
--- a/state/routes/src/types.ts
+++ b/state/routes/src/types.ts
@@ -29,6 +29,21 @@
     readonly priority: number;
     /** Whether a call may run more than once. */
     readonly repeatable: boolean;
+    /** Whether a call needs no key of an organisation. */
+    readonly allowsAnonymous: boolean;
+}
+
+/** An organisation whose clients authenticate with one of its keys. */
+export interface Organisation {
+    readonly name: string;
+    /** Digests of the keys (see `digestKey`), so that no key is relayed between nodes or logged. */
+    readonly keys: readonly string[];
+    /** Takes precedence over the route's priority; `undefined` if not set. 0 is the highest. */
+    readonly priority: number | undefined;
+    /** Calls per second over all nodes; `undefined` without a limit (omitted or 0). */
+    readonly callsPerSecond: number | undefined;
+    /** Calls allowed at once in addition to the rate; 0 if omitted. */
+    readonly burst: number;
 }
 
 /** Settings of one service. */
@@ -52,4 +67,6 @@
     readonly routes: readonly Route[];
     readonly services: readonly Service[];
     readonly callerLimits: CallerLimits;
+    /** Empty if the deployment has no organisations; then no call needs a key. */
+    readonly organisations: readonly Organisation[];
 }
--- a/state/routes/test/routes.test.ts
+++ b/state/routes/test/routes.test.ts
@@ -5,6 +5,7 @@
     createRouteKey,
     findConfigurationProblems,
     type MeshConfiguration,
+    type Organisation,
     parseConfigurationPatch,
     type Route,
     RouteTable,
@@ -22,13 +23,27 @@
     maxTargets: 2,
     priority: 1,
     repeatable: true,
+    allowsAnonymous: false,
     ...changes,
 });
-const createConfiguration = (routes: readonly Route[], version = 1): MeshConfiguration => ({
+const createOrganisation = (changes: Partial<Organisation> = {}): Organisation => ({
+    name: "o",
+    keys: ["digest"],
+    priority: undefined,
+    callsPerSecond: undefined,
+    burst: 0,
+    ...changes,
+});
+const createConfiguration = (
+    routes: readonly Route[],
+    version = 1,
+    organisations: readonly Organisation[] = [],
+): MeshConfiguration => ({
     version,
     routes,
     services: [{ name: "s", maxConnections: 10 }],
     callerLimits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    organisations,
 });
 
 describe("RouteTable", () => {
@@ -82,6 +97,72 @@
     });
 });
 
+describe("organisations", () => {
+    const findProblems = (...organisations: readonly Organisation[]): readonly string[] =>
+        findConfigurationProblems(createConfiguration([], 1, organisations)).map(({ part }) => part);
+    const invalidOrganisations: readonly (readonly [string, Partial<Organisation>])[] = [
+        ["empty key", { keys: [""] }],
+        ["name with a line break", { name: "a\nb" }],
+        ["name with a space at its end", { name: "a " }],
+        ["name beyond Latin-1", { name: "a\u0142" }],
+        ["negative rate", { callsPerSecond: -1 }],
+        ["infinite rate", { callsPerSecond: Number.POSITIVE_INFINITY }],
+        ["negative burst", { burst: -1 }],
+        ["fractional priority", { priority: 0.5 }],
+    ];
+    it.each(invalidOrganisations)("make the configuration invalid with %s", (_name, changes) => {
+        const invalid = createOrganisation({ name: "bad", ...changes });
+        expect(findProblems(createOrganisation({ keys: ["else"] }), invalid)).toEqual([`organisation ${invalid.name}`]);
+    });
+
+    it("make the configuration invalid with a duplicate or an empty name, or a key that two of them hold", () => {
+        expect(findProblems(createOrganisation(), createOrganisation({ keys: [] }))).toEqual(["organisation o"]);
+        expect(findProblems(createOrganisation({ name: "" }))).toEqual(["organisation number 1"]);
+        expect(findProblems(createOrganisation(), createOrganisation({ name: "p" }))).toEqual(["organisation p"]);
+        expect(findProblems(createOrganisation({ keys: ["a", "a"] }), createOrganisation({ name: "p" }))).toEqual([]);
+    });
+
+    const create = createConfigurationPatch;
+    const relay = (patch: ConfigurationPatch): unknown => JSON.parse(JSON.stringify(patch));
+    const first = createConfiguration([createRoute()], 1, [createOrganisation()]);
+
+    it("are part of a patch only if they changed", () => {
+        const same = createConfiguration([createRoute()], 2, [createOrganisation({ keys: ["digest"] })]);
+        expect(create(first, same)).not.toHaveProperty("organisations");
+        expect(create(undefined, createConfiguration([]))).not.toHaveProperty("organisations");
+        const changes: readonly Partial<Organisation>[]
+            = [{ keys: ["other"] }, { keys: [] }, { priority: 0 }, { callsPerSecond: 1 }, { burst: 1 }, { name: "p" }];
+        changes.forEach(change => {
+            const after = createConfiguration([createRoute()], 2, [createOrganisation(change)]);
+            const patch = parseConfigurationPatch(relay(create(first, after))) as ConfigurationPatch;
+            expect(applyConfigurationPatch(first, patch)?.organisations).toEqual(after.organisations);
+        });
+        const removed = parseConfigurationPatch(relay(create(first, createConfiguration([], 2)))) as ConfigurationPatch;
+        expect(applyConfigurationPatch(first, removed)?.organisations).toEqual([]);
+    });
+
+    it("stay as they are under a patch without them, and are none in a complete one without them", () => {
+        const withoutThem = { ...create(first, createConfiguration([], 2)), organisations: undefined };
+        const patch = parseConfigurationPatch(relay(withoutThem));
+        expect(applyConfigurationPatch(first, patch as ConfigurationPatch)?.organisations).toEqual(first.organisations);
+        const complete = parseConfigurationPatch(relay(create(undefined, createConfiguration([], 2))));
+        expect(applyConfigurationPatch(first, complete as ConfigurationPatch)?.organisations).toEqual([]);
+    });
+
+    it("make a patch malformed as a whole if a part of them has the wrong type", () => {
+        const valid = relay(create(undefined, first)) as Record<string, unknown>;
+        expect(parseConfigurationPatch(valid)).toEqual(valid);
+        const damagedFields = [{ keys: [1] }, { burst: "1" }, { priority: "1" }, { callsPerSecond: {} }, { name: undefined }];
+        const damaged = [{}, "text", false, [1], ...damagedFields.map(fields => [{ ...createOrganisation(), ...fields }])];
+        damaged.forEach(organisations => expect(parseConfigurationPatch({ ...valid, organisations })).toBeUndefined());
+    });
+
+    it("differ in nothing else: a route that begins to allow anonymous calls is part of the patch", () => {
+        const after = createConfiguration([createRoute({ allowsAnonymous: true })], 2, first.organisations);
+        expect(create(first, after).routes.map(({ allowsAnonymous }) => allowsAnonymous)).toEqual([true]);
+    });
+});
+
 describe("patches", () => {
     const anyRoute = fc.record({
         pathPrefix: fc.constantFrom("/a/", "/b/", "/c/", "/d/"),
