--- a/state/routes/src/check.ts
+++ b/state/routes/src/check.ts
@@ -11,8 +11,8 @@
     readonly reason: string;
 }
 
-/** Names that a header can carry unchanged: Latin-1 without control characters and without spaces at either end. */
-const organisationNamePattern = /^[\x21-\x7e\xa0-\xff](?:[\x20-\x7e\xa0-\xff]*[\x21-\x7e\xa0-\xff])?$/;
+/** Matches names that a header does not carry unchanged as UTF-8: control characters, lone surrogates, outer spaces. */
+const unsendableNamePattern = /[\p{Cc}\p{Cs}]|^\s|\s$/u;
 
 /** Returns all problems of a configuration. It can be activated if there are none. */
 export function findConfigurationProblems(configuration: MeshConfiguration): readonly ConfigurationProblem[] {
@@ -57,8 +57,11 @@
 }
 
 function findOrganisationProblem({ name, keys, priority, callsPerSecond, burst }: Organisation): string | undefined {
-    if (!organisationNamePattern.test(name)) {
-        return name === "" ? "has no name" : "has a name that a header cannot carry";
+    if (name === "") {
+        return "has no name";
+    }
+    if (unsendableNamePattern.test(name)) {
+        return "has a name that a header cannot carry";
     }
     if (keys.some(key => key === "")) {
         return "has an empty key";
--- a/state/routes/src/patch.ts
+++ b/state/routes/src/patch.ts
@@ -3,6 +3,7 @@
  * previous version needs only a small part of the new one.
  */
 import { isNumber, isRecord, isText, type UncheckedFields } from "@bilberrycroft/core.json";
+import { hasSameOrganisations } from "./organisations";
 import type { CallerLimits, MeshConfiguration, Organisation, Route, Service, WeightedService } from "./types";
 
 export interface ConfigurationPatch {
@@ -51,17 +52,6 @@
         && hasSameWeights(before.services, after.services);
 }
 
-function hasSameOrganisations(before: readonly Organisation[], after: readonly Organisation[]): boolean {
-    return before === after || (before.length === after.length && before.every((organisation, index) =>
-        isSameOrganisation(organisation, after[index])));
-}
-
-function isSameOrganisation(before: Organisation, after: Organisation | undefined): boolean {
-    return after !== undefined && before.name === after.name && before.priority === after.priority
-        && before.callsPerSecond === after.callsPerSecond && before.burst === after.burst
-        && before.keys.length === after.keys.length && before.keys.every((key, index) => key === after.keys[index]);
-}
-
 /** Whether both lists have the same services with the same weights in the same order. */
 export function hasSameWeights(before: readonly WeightedService[], after: readonly WeightedService[]): boolean {
     return before.length === after.length && before.every(({ service, weight }, index) =>
--- a/state/routes/src/routeTable.ts
+++ b/state/routes/src/routeTable.ts
@@ -1,13 +1,25 @@
 /**
  * Route lookup by host and longest path prefix.
  */
+import { hasSameOrganisations, OrganisationIndex } from "./organisations";
 import type { MeshConfiguration, Route } from "./types";
 
-/** Routes of one configuration version. Immutable, so that a call uses the same table from start to end. */
+/**
+ * Routes and organisations of one configuration version. Immutable, so that a call uses the same table from start to
+ * end.
+ */
 export class RouteTable {
     private readonly byHost = new Map<string, Map<string, Route>>();
 
-    constructor(readonly configuration: MeshConfiguration) {
+    readonly organisations: OrganisationIndex;
+
+    /** Takes the index of the organisations over from `previous` if they are the same, because it may be large. */
+    constructor(readonly configuration: MeshConfiguration, previous?: RouteTable) {
+        const { organisations } = configuration;
+        this.organisations = previous !== undefined
+            && hasSameOrganisations(previous.configuration.organisations, organisations)
+            ? previous.organisations
+            : new OrganisationIndex(organisations);
         for (const route of configuration.routes) {
             const routes = this.byHost.get(route.host) ?? new Map<string, Route>();
             this.byHost.set(route.host, routes);
