Authenticate calls by the keys of organisations

Cause: a configuration may list organisations, whose keys decide who may call and under which name.

- The caller task decides after the route is found and before the body is read; a refusal is 401, its body is discarded like that of other refusals.
With a newer version known from a peer, 401 and 404 become 503 with Retry-After 0.2 s.
- The caller's node removes Authorization and X-Tenant of the client, the offer carries the organisation, and the target's node sets X-Tenant.
Inner calls belong to the organisation of their parent in the local target.
- The priority of the organisation takes precedence over that of the route; an inner call keeps that of its parent.
- Two reasons: not-authenticated (401 with WWW-Authenticate, which RFC 9110 requires) and configuration-outdated (503).
- Log lines name the organisation and, for a refusal, whether the key was missing, malformed or unknown.

Ruled out: setting X-Tenant at the caller's node, because a client could list it in Connection.

Before: Authorization and X-Tenant were forwarded as sent; they still are without organisations, and offers then have no additional field (tested by frames and received headers).

--- a/daemons/node/src/calls/responses.ts
+++ b/daemons/node/src/calls/responses.ts
@@ -26,6 +26,8 @@
     [CallReason.AnswerLost]: 502,
     [CallReason.TimedOut]: 504,
     [CallReason.BadRequest]: 400,
+    [CallReason.NotAuthenticated]: 401,
+    [CallReason.ConfigurationOutdated]: 503,
 };
 
 /** Status for a request body larger than `maxRequestBytes`; the reason is `bad-request`. */
--- a/daemons/sidecar/src/calls/localResponses.ts
+++ b/daemons/sidecar/src/calls/localResponses.ts
@@ -20,6 +20,7 @@
     [CallReason.BadRequest]: 400,
     [CallReason.AnswerLost]: 502,
     [CallReason.TimedOut]: 504,
+    [CallReason.NotAuthenticated]: 401,
 };
 
 /** Callers honour `Retry-After` up to this part of their remaining time. */
@@ -45,7 +46,11 @@
     }
     const { callId, reason, retryAfterMs } = localResponse;
     response.writeHead(localResponse.status ?? statusByReason[reason] ?? notRunStatus, {
-        ...codec.createLocalResponseHeaders({ callId, retryAfterMs }),
+        ...codec.createLocalResponseHeaders({
+            callId,
+            retryAfterMs,
+            isUnauthenticated: reason === CallReason.NotAuthenticated,
+        }),
         "content-type": "application/json",
     });
     response.end(`${JSON.stringify({ reason })}\n`);
--- a/daemons/sidecar/src/calls/targetCall.ts
+++ b/daemons/sidecar/src/calls/targetCall.ts
@@ -85,6 +85,7 @@
             target: offer.target,
             callerService: offer.callerService,
             remainingMs: Math.max(1, Math.floor(deadlineAt - clock.now())),
+            organisation: offer.organisation,
         });
         if (offer.bodyBytes !== undefined) {
             headers["content-length"] = String(body.length);
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -268,6 +268,7 @@
             metrics,
             budgets: this.retryBudgets,
             findRunningCall: callId => this.targetTask.findRunningCall(callId),
+            knowsNewerVersion: version => this.configurationTask.knowsNewerVersion(version),
             service: settings.service,
             getLocalVersions: () => this.getLocalVersions(),
             handlePeerVersions: versions => this.handlePeerVersions(versions),
@@ -328,6 +329,7 @@
 
     private handlePeerVersions(versions: StateVersions): void {
         const local = this.getLocalVersions();
+        this.configurationTask.recordPeerVersion(versions.configurationVersion);
         if (versions.configurationVersion > local.configurationVersion) {
             this.configurationCollection.recordNewerPeer();
         }
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -17,7 +17,7 @@
 import type { Random } from "@bilberrycroft/core.random";
 import { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
 import type { Offer } from "@bilberrycroft/protocol.forwarding";
-import type { Route, RouteTable } from "@bilberrycroft/state.routes";
+import { authenticate, type Authentication, AuthenticationKind, type Route, type RouteTable } from "@bilberrycroft/state.routes";
 import { BodyOutcomeKind, discardRequestBody, readBody } from "@bilberrycroft/transport.calls";
 import { copyHeaders } from "@bilberrycroft/transport.forwarding";
 import { CallerCall } from "../calls/callerCall";
@@ -33,6 +33,8 @@
     readonly metrics: CallMetrics;
     /** Returns the call with this identifier if it is running in the local target. */
     findRunningCall(callId: string): Offer | undefined;
+    /** Whether a peer has reported a configuration version newer than the given one. */
+    knowsNewerVersion(version: number): boolean;
     /** Service of the local target. */
     readonly service: string;
 }
@@ -45,6 +47,8 @@
 const retryAfterMsByReason: Readonly<Partial<Record<CallReason, Milliseconds>>> = {
     [CallReason.NoConfiguration]: 300,
     [CallReason.Overloaded]: 300,
+    // A relayed configuration usually arrives within this time.
+    [CallReason.ConfigurationOutdated]: 200,
 };
 /** Shortest retry delay while this process is about to end. */
 const minStopRetryAfterMs: Milliseconds = 300;
@@ -104,10 +108,11 @@
         const { options, table } = this;
         const { codec, log, metrics } = options;
         const head = codec.readCallerHead(request.headers);
-        const refuse = (reason: CallReason, status?: number): void => {
+        const refuse = (reason: CallReason, status?: number, cause?: string): void => {
             discardRequestBody(request, cut => log.info("request-cut", { call: head?.callId, reason, cut }));
             const { host } = request.headers;
-            log.info("call-refused", { call: head?.callId, host, path: request.url, version: table?.version, reason });
+            const version = table?.version;
+            log.info("call-refused", { call: head?.callId, host, path: request.url, version, reason, cause });
             metrics.recordRefusal(reason);
             const retryAfterMs = retryAfterMsByReason[reason];
             sendLocalResponse(response, codec, { callId: head?.callId, reason, retryAfterMs, status });
@@ -120,8 +125,14 @@
         }
         const url = request.url ?? "/";
         const route = table.find(getHost(request), url.split("?", 1)[0] ?? url);
+        const isOutdated = (): boolean => !table.organisations.isEmpty && options.knowsNewerVersion(table.version);
         if (route === undefined) {
-            return refuse(CallReason.NoRoute);
+            return refuse(isOutdated() ? CallReason.ConfigurationOutdated : CallReason.NoRoute);
+        }
+        const authentication = this.authenticate(request, head, table, route);
+        if (authentication.kind === AuthenticationKind.Refused) {
+            const reason = isOutdated() ? CallReason.ConfigurationOutdated : CallReason.NotAuthenticated;
+            return refuse(reason, undefined, authentication.cause);
         }
         if (options.bufferBudget.isExhausted && mayHaveBody(request)) {
             return refuse(CallReason.Overloaded);
@@ -134,10 +145,35 @@
                 response.destroy();
                 return;
             case BodyOutcomeKind.Complete:
-                return this.forward({ request, response, head, route, table, body: body.body, startedAt });
+                return this.forward({
+                    request,
+                    response,
+                    head,
+                    route,
+                    table,
+                    authentication,
+                    body: body.body,
+                    startedAt,
+                });
         }
     }
 
+    /** Decides to which organisation a call belongs; to none if the configuration has no organisations. */
+    private authenticate(request: IncomingMessage, head: CallerHead, table: RouteTable, route: Route): Authentication {
+        if (table.organisations.isEmpty) {
+            return callWithoutOrganisation;
+        }
+        return authenticate(table.organisations, {
+            credentials: this.options.codec.readCredentials(request.headersDistinct),
+            allowsAnonymous: route.allowsAnonymous,
+            parent: this.findParent(head),
+        });
+    }
+
+    private findParent({ parentCallId }: CallerHead): Offer | undefined {
+        return parentCallId === undefined ? undefined : this.options.findRunningCall(parentCallId);
+    }
+
     private async forward(received: ReceivedCall): Promise<void> {
         const { options } = this;
         const { response, head, route } = received;
@@ -146,7 +182,8 @@
         const decision = options.quarantine.check(call.offer.fingerprint);
         if (decision.kind === QuarantineDecisionKind.Held) {
             const { retryAfterMs } = decision;
-            options.log.warn("call-quarantined", { call: head.callId, route: route.name, retryAfterMs });
+            const { organisation } = call.offer;
+            options.log.warn("call-quarantined", { call: head.callId, route: route.name, organisation, retryAfterMs });
             const reason = CallReason.Quarantined;
             options.metrics.recordRefusal(reason);
             sendLocalResponse(response, options.codec, { callId: head.callId, reason, retryAfterMs });
@@ -154,7 +191,8 @@
         }
         if (call.deadlineAt > this.processEndsAt) {
             const reason = CallReason.Draining;
-            options.log.info("call-refused", { call: head.callId, route: route.name, version: call.version, reason });
+            const { version, offer: { organisation } } = call;
+            options.log.info("call-refused", { call: head.callId, route: route.name, version, organisation, reason });
             options.metrics.recordRefusal(reason);
             const remainingMs = Math.max(minStopRetryAfterMs, this.processEndsAt - options.clock.now());
             const retryAfterMs = limitRetryAfter(remainingMs, call.deadlineAt - options.clock.now());
@@ -179,8 +217,9 @@
         this.recordEnd(call, service, end);
     }
 
-    private createCall({ request, response, head, route, table, body, startedAt }: ReceivedCall): AcceptedCall {
+    private createCall(received: ReceivedCall): AcceptedCall {
         const { options } = this;
+        const { request, response, head, route, table, authentication, body, startedAt } = received;
         const waitMs = Math.min(head.waitMs ?? maxWaitMs, maxWaitMs);
         const hasBody = body.length > 0 || mayHaveBody(request);
         const fingerprint = options.quarantine.computeFingerprint({
@@ -190,7 +229,7 @@
             tenant: "",
             bodyDigest: createHash("sha256").update(body).digest("base64url"),
         });
-        const parent = head.parentCallId === undefined ? undefined : options.findRunningCall(head.parentCallId);
+        const parent = this.findParent(head);
         // An inner call has what is left of its parent's time, which says nothing about its own age.
         const ageMs = parent === undefined && head.waitMs !== undefined
             ? this.callerAges.recordCall(route.name, head.waitMs)
@@ -198,7 +237,8 @@
         return {
             request,
             response,
-            headers: copyHeaders(request.headers, name => name === "content-length" || name === "expect"),
+            headers: copyHeaders(request.headers, name => name === "content-length" || name === "expect"
+                || (!table.organisations.isEmpty && options.codec.organisationHeaders.has(name))),
             body,
             hasBody,
             parent,
@@ -212,12 +252,13 @@
             offer: {
                 route: route.name,
                 // An inner call inherits the priority of its parent.
-                priority: parent?.priority ?? route.priority,
+                priority: parent?.priority ?? authentication.priority ?? route.priority,
                 isInner: parent !== undefined,
                 repeatable: route.repeatable,
                 callerService: options.service,
                 callId: head.callId,
                 fingerprint,
+                organisation: authentication.organisation,
             },
         };
     }
@@ -236,6 +277,7 @@
             version: call.version,
             service,
             inner: call.offer.isInner ? true : undefined,
+            organisation: call.offer.organisation,
             outcome: end.outcome,
             reason: end.reason,
             status: end.status,
@@ -255,6 +297,14 @@
     }
 }
 
+type AcceptedAuthentication = Extract<Authentication, { kind: AuthenticationKind.Accepted }>;
+
+const callWithoutOrganisation: AcceptedAuthentication = {
+    kind: AuthenticationKind.Accepted,
+    organisation: undefined,
+    priority: undefined,
+};
+
 /** A call whose request has been read completely. */
 interface ReceivedCall {
     readonly request: IncomingMessage;
@@ -262,6 +312,7 @@
     readonly head: CallerHead;
     readonly route: Route;
     readonly table: RouteTable;
+    readonly authentication: AcceptedAuthentication;
     readonly body: Buffer;
     readonly startedAt: Milliseconds;
 }
--- a/daemons/sidecar/src/tasks/configurationTask.ts
+++ b/daemons/sidecar/src/tasks/configurationTask.ts
@@ -40,6 +40,8 @@
     private table: RouteTable | undefined;
     private readonly recentVersions = new Map<number, MeshConfiguration>();
     private lastCheckedRevision = 0;
+    /** Newest version that a peer has reported to be in force there. */
+    private newestPeerVersion = 0;
 
     constructor(private readonly options: ConfigurationTaskOptions) {}
 
@@ -48,6 +50,16 @@
         return this.table;
     }
 
+    /** Records the version in force at a peer. */
+    recordPeerVersion(version: number): void {
+        this.newestPeerVersion = Math.max(this.newestPeerVersion, version);
+    }
+
+    /** Whether a peer has reported a version newer than the given one. */
+    knowsNewerVersion(version: number): boolean {
+        return this.newestPeerVersion > version;
+    }
+
     handleContent({ objects }: CollectionContent): void {
         const { platform, log } = this.options;
         const object = objects.get(platform.configurationName);
@@ -85,6 +97,7 @@
             this.options.log.warn("configuration-refused", { from, reason: "malformed" });
             return undefined;
         }
+        this.recordPeerVersion(relayed.patch.version);
         const configuration = applyConfigurationPatch(this.table?.configuration, relayed.patch);
         if (configuration === undefined) {
             const { base, version } = relayed.patch;
@@ -114,7 +127,7 @@
             }
             return;
         }
-        this.table = new RouteTable(configuration);
+        this.table = new RouteTable(configuration, this.table);
         this.recentVersions.set(version, configuration);
         if (this.recentVersions.size > maxRecentVersions) {
             this.recentVersions.delete(this.recentVersions.keys().next().value as number);
--- a/daemons/sidecar/src/tasks/relayTask.ts
+++ b/daemons/sidecar/src/tasks/relayTask.ts
@@ -167,6 +167,7 @@
             return;
         }
         peer.versions = state;
+        this.options.configurationTask.recordPeerVersion(state.configurationVersion);
         const { selection, configurationCollection } = this.options;
         const wasSource = selection.isSource(name);
         selection.recordState(name, readsStore);
--- a/daemons/sidecar/src/tasks/targetTask.ts
+++ b/daemons/sidecar/src/tasks/targetTask.ts
@@ -330,7 +330,7 @@
     }
 
     private refuse(incoming: IncomingOffer, reason: CallReason, retryAfterMs: Milliseconds): void {
-        const { route, callId, target, priority } = incoming.message.offer;
+        const { route, callId, target, priority, organisation } = incoming.message.offer;
         const report = this.createReport(route);
         const { running, queued, slots, availability, meanRunTimeMs } = report.load;
         this.options.log.info("offer-refused", {
@@ -339,6 +339,7 @@
             target,
             reason,
             priority,
+            organisation,
             running,
             queued,
             slots,
--- a/protocol/calls/src/index.ts
+++ b/protocol/calls/src/index.ts
@@ -60,6 +60,10 @@
     AnswerLost = "answer-lost",
     TimedOut = "timed-out",
     BadRequest = "bad-request",
+    /** The call carries no key of an organisation. */
+    NotAuthenticated = "not-authenticated",
+    /** The configuration of the node refuses the call, but its peers have a newer one. */
+    ConfigurationOutdated = "configuration-outdated",
 }
 
 /** Load that a target reports with a response. */
