Share targets between organisations under overload

Cause: one organisation that sends several times its usual calls made the targets refuse all organisations alike.

- TargetQueue: within a priority, the least served organisation in relation to its weight goes first.
A call that fits in this order but finds the queue without room replaces the last queued call of the organisation that exceeds its share; the Queued decision carries that refusal.
Calls without organisation count as one.
- The caller's node remembers refusals because of overload by organisation.
Otherwise a refusal of a large organisation would hold back the calls of all others there.
- LoadPlay can divide its calls among organisations.

--- a/coordination/forwarding/src/callPlan.ts
+++ b/coordination/forwarding/src/callPlan.ts
@@ -110,7 +110,7 @@
         }
         state.phase = AttemptPhase.Granted;
         if (!this.call.isInner) {
-            this.dependencies.directory.recordGrant(state.node, this.call.priority);
+            this.dependencies.directory.recordGrant(state.node, this.call.priority, this.call.organisation);
         }
         this.targetsUsed++;
         const actions: PlanAction[] = [{ kind: PlanActionKind.Proceed, attempt }];
@@ -231,9 +231,9 @@
 
     /** Returns the best target; if all of them are known to refuse the call, records that as its refusal. */
     private chooseCandidate(): TargetCandidate | undefined {
-        const { service, route, priority, isInner } = this.call;
+        const { service, route, priority, organisation, isInner } = this.call;
         const { directory } = this.dependencies;
-        const request = { service, route, exclude: this.triedNodes, responseBytes: this.responseBytes };
+        const request = { service, route, organisation, exclude: this.triedNodes, responseBytes: this.responseBytes };
         if (isInner) {
             return directory.choose(request);
         }
@@ -259,14 +259,14 @@
     }
 
     private handleRefusal({ node, spareOnly }: AttemptState, refusal: Refusal): void {
-        const { priority, isInner } = this.call;
+        const { priority, organisation, isInner } = this.call;
         this.refusedOffers++;
         this.recordRefusal(refusal);
         // Inner calls are queued past their objective, and an offer for a free slot is not queued at all: refusals of
         // either say little about other calls.
         if (refusal.reason === CallReason.Overloaded && !isInner && !spareOnly) {
             const { retryAfterMs } = refusal;
-            this.dependencies.directory.recordRefusal(node, { priority, retryAfterMs });
+            this.dependencies.directory.recordRefusal(node, { priority, organisation, retryAfterMs });
         }
     }
 
--- a/coordination/forwarding/src/callPlanTypes.ts
+++ b/coordination/forwarding/src/callPlanTypes.ts
@@ -12,6 +12,8 @@
     readonly service: string;
     /** Priority of the call; that of its outer call for an inner call. 0 is the highest. */
     readonly priority: number;
+    /** Organisation of the call; `undefined` if it belongs to none. */
+    readonly organisation?: string | undefined;
     /** The call was made by a target while it ran another call. */
     readonly isInner: boolean;
     /** The call was made by a target during a repeated run of another call. */
--- a/coordination/forwarding/src/index.ts
+++ b/coordination/forwarding/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./responseSizes";
 export * from "./bufferBudget";
 export * from "./callPlan";
+export * from "./fairShare";
 export * from "./callPlanTypes";
 export * from "./routeLatencyTable";
 export * from "./peerRecord";
--- a/coordination/forwarding/src/peerRecord.ts
+++ b/coordination/forwarding/src/peerRecord.ts
@@ -18,6 +18,8 @@
 const limitValidityMs: Milliseconds = 1_000;
 /** Bounds memory use when routes are added and removed. */
 const maxRoutes = 512;
+/** Bounds memory use; a refusal is of use for less than a second. */
+const maxOverloads = 64;
 
 interface RunTimeObservation {
     readonly runTimeMs: Milliseconds;
@@ -41,6 +43,11 @@
 export interface OverloadRefusal {
     /** Priority of the refused call; calls of the same or a lower priority would be refused too. */
     readonly priority: number;
+    /**
+     * Organisation of the refused call. Targets are shared between organisations, so the refusal says nothing about the
+     * calls of others.
+     */
+    readonly organisation?: string | undefined;
     /** Time after which the target's node expects to have room. */
     readonly retryAfterMs: Milliseconds;
 }
@@ -64,7 +71,8 @@
     private readonly runTimes = new Map<string, RunTimeObservation>();
     readonly responseTimes = new ResponseTimes();
     private latestLoad: LoadObservation | undefined;
-    private overload: Overload | undefined;
+    /** Latest refusals by organisation. */
+    private readonly overloads = new Map<string | undefined, Overload>();
     private limit: LimitObservation | undefined;
     private nextProbeAt: Milliseconds | undefined;
     private probeDelayMs = initialProbeDelayMs;
@@ -87,7 +95,7 @@
         if (!isSame) {
             this.runTimes.clear();
             this.latestLoad = undefined;
-            this.overload = undefined;
+            this.overloads.clear();
             this.limit = undefined;
             this.markHealthy();
         }
@@ -106,20 +114,26 @@
         this.localCallIds.delete(callId);
     }
 
-    recordRefusal({ priority, retryAfterMs }: OverloadRefusal, now: Milliseconds): void {
-        this.overload = { priority, avoidUntil: now + avoidedShare * retryAfterMs, retryAt: now + retryAfterMs };
+    recordRefusal({ priority, organisation, retryAfterMs }: OverloadRefusal, now: Milliseconds): void {
+        evictOldestIfFull(this.overloads, organisation, maxOverloads);
+        const overload = { priority, avoidUntil: now + avoidedShare * retryAfterMs, retryAt: now + retryAfterMs };
+        this.overloads.set(organisation, overload);
     }
 
-    /** Records that the target granted a call of this priority. */
-    recordGrant(priority: number): void {
-        if (this.overload !== undefined && priority >= this.overload.priority) {
-            this.overload = undefined;
+    /** Records that the target granted a call of this priority and organisation. */
+    recordGrant(priority: number, organisation?: string): void {
+        const overload = this.overloads.get(organisation);
+        if (overload !== undefined && priority >= overload.priority) {
+            this.overloads.delete(organisation);
         }
     }
 
-    /** Time until a call of this priority is worth an offer, if the target has just refused such calls. */
-    overloadDelayMs(priority: number, now: Milliseconds): Milliseconds | undefined {
-        const { overload } = this;
+    /** Time until such a call is worth an offer, if the target has just refused such calls. */
+    overloadDelayMs(
+        { priority, organisation }: { readonly priority: number; readonly organisation?: string | undefined },
+        now: Milliseconds,
+    ): Milliseconds | undefined {
+        const overload = this.overloads.get(organisation);
         return overload !== undefined && priority >= overload.priority && now < overload.avoidUntil
             ? overload.retryAt - now
             : undefined;
--- a/coordination/forwarding/src/targetDirectory.ts
+++ b/coordination/forwarding/src/targetDirectory.ts
@@ -39,6 +39,8 @@
     readonly route: Route;
     /** Priority of the call; `undefined` if it is offered to overloaded targets too, as inner calls are. */
     readonly priority?: number | undefined;
+    /** Organisation of the call; `undefined` if it belongs to none. */
+    readonly organisation?: string | undefined;
     /** Nodes that this call has already tried. */
     readonly exclude: ReadonlySet<string>;
     /** Average response size on the route. */
@@ -169,12 +171,13 @@
     choose(request: CandidateRequest): TargetCandidate | undefined {
         const targets = this.byService.get(request.service) ?? [];
         const candidates = this.selectCandidates(targets, request);
-        const { priority } = request;
+        const { priority, organisation } = request;
         if (priority === undefined) {
             return this.findCheapest(candidates, request);
         }
         const now = this.options.clock.now();
-        const available = candidates.filter(record => record.overloadDelayMs(priority, now) === undefined);
+        const available = candidates.filter(record =>
+            record.overloadDelayMs({ priority, organisation }, now) === undefined);
         return this.findCheapest(available, request);
     }
 
@@ -185,7 +188,7 @@
     overloadDelayMs(request: CandidateRequest & { readonly priority: number }): Milliseconds | undefined {
         const now = this.options.clock.now();
         const delays = this.selectCandidates(this.byService.get(request.service) ?? [], request)
-            .map(record => record.overloadDelayMs(request.priority, now));
+            .map(record => record.overloadDelayMs(request, now));
         const known = delays.filter(delayMs => delayMs !== undefined);
         return known.length === 0 || known.length < delays.length ? undefined : Math.min(...known);
     }
@@ -195,9 +198,9 @@
         this.records.get(node)?.recordRefusal(refusal, this.options.clock.now());
     }
 
-    /** Records that the node granted a call of this priority. */
-    recordGrant(node: string, priority: number): void {
-        this.records.get(node)?.recordGrant(priority);
+    /** Records that the node granted a call of this priority and organisation. */
+    recordGrant(node: string, priority: number, organisation?: string): void {
+        this.records.get(node)?.recordGrant(priority, organisation);
     }
 
     private selectCandidates(targets: readonly PeerRecord[], { exclude }: CandidateRequest): PeerRecord[] {
--- a/coordination/forwarding/src/targetQueue.ts
+++ b/coordination/forwarding/src/targetQueue.ts
@@ -4,12 +4,13 @@
  * All calls to the target pass through this node, so only this node knows what runs there. It grants at most as many
  * calls as the target has slots, and no more than the limit that the target names allows. Inner calls (made by a target
  * while it runs another call) go first, because their outer call occupies a slot elsewhere while it waits. Calls that
- * cannot finish in time are refused immediately.
+ * cannot finish in time are refused immediately. Within a priority, organisations share the target (see `FairShare`).
  */
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import type { Random } from "@bilberrycroft/core.random";
 import { CallReason } from "@bilberrycroft/protocol.calls";
 import { TargetAvailability, type TargetLoad } from "@bilberrycroft/protocol.forwarding";
+import { FairShare, type OrganisationName } from "./fairShare";
 import { RequestLimit } from "./requestLimit";
 import { RunTimeEstimates } from "./runTimes";
 
@@ -18,6 +19,8 @@
     readonly callId: string;
     readonly route: string;
     readonly priority: number;
+    /** `undefined` for calls that belong to none; they count as one organisation. */
+    readonly organisation?: string | undefined;
     /** The call was made by a target while it ran another call. */
     readonly isInner: boolean;
     /** The call is granted only if a slot is free now; it is never queued. */
@@ -36,7 +39,13 @@
 
 export type OfferDecision =
     | { readonly kind: OfferDecisionKind.Granted; readonly callId: string }
-    | { readonly kind: OfferDecisionKind.Queued; readonly callId: string; readonly expectedWaitMs: Milliseconds }
+    | {
+        readonly kind: OfferDecisionKind.Queued;
+        readonly callId: string;
+        readonly expectedWaitMs: Milliseconds;
+        /** Refusal of a queued call of another organisation that gives way to this one. */
+        readonly evicted?: OfferRefusal;
+    }
     | OfferRefusal;
 
 /** The offer was refused without reaching the target. */
@@ -95,13 +104,17 @@
 
 interface RunningCall {
     readonly route: string;
+    readonly organisation: OrganisationName;
     readonly startedAt: Milliseconds;
     readonly transferMs: Milliseconds;
+    /** Run time that was charged to the organisation at the start. */
+    readonly chargedMs: Milliseconds;
 }
 
 export class TargetQueue {
     private readonly runTimes = new RunTimeEstimates();
     private readonly running = new Map<string, RunningCall>();
+    private readonly fairShare: FairShare;
     private queue: QueuedCall[] = [];
     private slots = 0;
     private availability = TargetAvailability.Down;
@@ -111,6 +124,7 @@
 
     constructor(private readonly options: TargetQueueOptions) {
         this.limit = new RequestLimit(options.clock);
+        this.fairShare = new FairShare(options.clock);
     }
 
     /** Updates the target's slots and availability; returns the queued calls that are now granted or refused. */
@@ -129,6 +143,7 @@
         if (this.availability !== TargetAvailability.Serving) {
             return this.refuse(call, this.unavailableReason());
         }
+        this.fairShare.observe(call.organisation);
         const now = this.options.clock.now();
         if (now + this.expectedRunMs(call) >= call.deadlineAt && call.deadlineAt - now < this.runTimes.meanMs) {
             return this.refuse(call, CallReason.DeadlinePassed);
@@ -140,16 +155,50 @@
         if (this.queue.length === 0 && this.mayStart()) {
             return this.grant(call);
         }
-        if (call.spareOnly || this.queue.length >= maxQueuedCalls) {
+        if (call.spareOnly) {
             return this.refuse(call, CallReason.Overloaded);
         }
         const expectedWaitMs = this.expectedWaitMs(call);
-        const sendMs = this.expectedSendMs(call.transferMs, expectedWaitMs + this.expectedRunMs(call));
-        if (now + expectedWaitMs + this.expectedRunMs(call) + sendMs > this.latestEndAt(call, now)) {
+        const hasRoom = this.queue.length < maxQueuedCalls && this.canWait(call, expectedWaitMs, now);
+        const evicted = hasRoom ? undefined : this.evictFor(call, now);
+        if (!hasRoom && evicted === undefined) {
             return this.refuse(call, CallReason.Overloaded);
         }
         this.queue.push({ call, refuseAt: this.latestEndAt(call, now) - this.expectedRunMs(call) - call.transferMs });
-        return { kind: OfferDecisionKind.Queued, callId: call.callId, expectedWaitMs };
+        return { kind: OfferDecisionKind.Queued, callId: call.callId, expectedWaitMs, evicted };
+    }
+
+    /** Whether the call can end in time if it waits that long. */
+    private canWait(call: OfferedCall, waitMs: Milliseconds, now: Milliseconds): boolean {
+        const runMs = this.expectedRunMs(call);
+        const sendMs = this.expectedSendMs(call.transferMs, waitMs + runMs);
+        return now + waitMs + runMs + sendMs <= this.latestEndAt(call, now);
+    }
+
+    /**
+     * Refuses a queued call of the same priority, so that `call` has room: the last one of the organisation that has
+     * the most of them in relation to its share. Returns `undefined` if `call` is the one to be refused, as it is while
+     * one organisation is present.
+     */
+    private evictFor(call: OfferedCall, now: Milliseconds): OfferRefusal | undefined {
+        const isRival = (other: OfferedCall): boolean => !other.isInner && other.priority === call.priority;
+        if (call.isInner || !this.queue.some(({ call: other }) =>
+            isRival(other) && other.organisation !== call.organisation)) {
+            return undefined;
+        }
+        const rivals = this.queue.filter(({ call: other }) => isRival(other));
+        const counts = new Map<OrganisationName, number>();
+        rivals.forEach(({ call: { organisation } }) => counts.set(organisation, (counts.get(organisation) ?? 0) + 1));
+        const aheadOfPriority = this.countAhead(call) - rivals.length;
+        const ahead = aheadOfPriority + this.fairShare.countAhead(call.organisation, counts, this.runTimes.meanMs);
+        const excess = this.fairShare.findExcess(call.organisation, counts, this.runTimes.meanMs);
+        if (excess === undefined || !this.canWait(call, this.startDelayMs(ahead + 1), now)) {
+            return undefined;
+        }
+        const last = rivals.filter(({ call: { organisation } }) => organisation === excess.organisation)
+            .reduce((latest, rival) => this.precedes(rival.call, latest.call, now) ? latest : rival);
+        this.queue = this.queue.filter(queued => queued !== last);
+        return this.refuse(last.call, CallReason.Overloaded);
     }
 
     /** Records the end of a granted call; returns the queued calls that are now granted or refused. */
@@ -159,6 +208,7 @@
             return [];
         }
         this.running.delete(callId);
+        this.fairShare.charge(call.organisation, this.options.clock.now() - call.startedAt - call.chargedMs);
         // Neither a full target nor a cancelled call is a failure of the target.
         if (result !== RunResult.Cancelled && result !== RunResult.Shed) {
             const failed = result === RunResult.Answered ? 0 : 1;
@@ -216,8 +266,11 @@
     }
 
     private grant(call: OfferedCall): Extract<OfferDecision, { kind: OfferDecisionKind.Granted }> {
-        const { route, transferMs } = call;
-        this.running.set(call.callId, { route, startedAt: this.options.clock.now(), transferMs });
+        const { route, organisation, transferMs } = call;
+        const chargedMs = this.expectedRunMs(call);
+        this.fairShare.charge(organisation, chargedMs);
+        const startedAt = this.options.clock.now();
+        this.running.set(call.callId, { route, organisation, startedAt, transferMs, chargedMs });
         return { kind: OfferDecisionKind.Granted, callId: call.callId };
     }
 
@@ -247,8 +300,9 @@
     }
 
     /**
-     * Whether `call` is granted before `other`: inner calls first, then by priority. Within a priority, calls that can
-     * still meet their objective come first, by earliest objective; the others follow by earliest deadline.
+     * Whether `call` is granted before `other`: inner calls first, then by priority. Within a priority, those of the
+     * organisation with the least recent service come first. Within an organisation, calls that can still meet their
+     * objective come first, by earliest objective; the others follow by earliest deadline.
      */
     private precedes(call: OfferedCall, other: OfferedCall, now: Milliseconds): boolean {
         if (call.isInner !== other.isInner) {
@@ -257,6 +311,10 @@
         if (call.priority !== other.priority) {
             return call.priority < other.priority;
         }
+        const difference = this.fairShare.compare(call.organisation, other.organisation);
+        if (difference !== 0) {
+            return difference < 0;
+        }
         const canMeet = this.canMeetObjective(call, now);
         if (canMeet !== this.canMeetObjective(other, now)) {
             return canMeet;
@@ -298,9 +356,13 @@
 
     /** Expected time until a slot is free for the call and the limit allows it, after the calls with precedence. */
     private expectedWaitMs(call: OfferedCall): Milliseconds {
-        const ahead = this.queue.filter(({ call: other }) =>
-            other.isInner || (!call.isInner && other.priority <= call.priority));
-        return this.startDelayMs(ahead.length + 1);
+        return this.startDelayMs(this.countAhead(call) + 1);
+    }
+
+    /** Number of queued calls of the same or a higher precedence, without regard to organisations. */
+    private countAhead(call: OfferedCall): number {
+        return this.queue.filter(({ call: other }) =>
+            other.isInner || (!call.isInner && other.priority <= call.priority)).length;
     }
 
     /** Expected time until the given number of queued calls have started. */
--- a/coordination/forwarding/test/loadPlay.ts
+++ b/coordination/forwarding/test/loadPlay.ts
@@ -34,10 +34,19 @@
     readonly deadlineMs: Milliseconds;
     /** Whether the objective of a call that returns counts from its caller's first attempt, as `CallerAges` tells. */
     readonly tracksAges: boolean;
+    /** Calls of each organisation relative to those of the others; calls have none by default. */
+    readonly organisations?: ReadonlyMap<string, number>;
     /** Limit that a target names in a response at the given time, in calls per second. */
     limitOf?(target: number, at: Milliseconds): number | undefined;
 }
 
+/** What the callers of one organisation got. */
+export interface PlayedOrganisation {
+    asked: number;
+    inTime: number;
+    late: number;
+}
+
 /** What the callers got. */
 export interface PlayedResult {
     readonly asked: number;
@@ -51,6 +60,7 @@
     readonly refusalTimesMs: readonly Milliseconds[];
     /** Times at which calls reached each target. */
     readonly arrivals: readonly (readonly Milliseconds[])[];
+    readonly organisations: ReadonlyMap<string, PlayedOrganisation>;
 }
 
 interface PlayedCall {
@@ -58,6 +68,7 @@
     readonly attemptedAt: Milliseconds;
     readonly caller: number;
     readonly mayReturn: boolean;
+    readonly organisation: string | undefined;
 }
 
 type QueueRefusal = Extract<QueueEvent, { kind: OfferDecisionKind.Refused }>;
@@ -85,10 +96,13 @@
     private readonly result = { asked: 0, inTime: 0, late: 0, refused: 0, offers: 0, busyMs: 0 };
     private readonly refusalTimesMs: Milliseconds[] = [];
     private readonly arrivals: Milliseconds[][];
+    private readonly organisations: ReadonlyMap<string, PlayedOrganisation>;
 
     constructor(private readonly load: PlayedLoad) {
         this.random = createSeededRandom(load.seed);
         const { clock, random } = this;
+        this.organisations = new Map([...load.organisations?.keys() ?? []].map(name =>
+            [name, { asked: 0, inTime: 0, late: 0 }]));
         const entries = Array.from({ length: load.targets }, (_, index) => ({
             node: `n-${index}`,
             zone: "z",
@@ -118,8 +132,10 @@
         const arrive = (): void => {
             const at = this.clock.now();
             const caller = Math.floor(this.random.nextFraction() * callerNodes);
+            const organisation = this.pickOrganisation();
             this.result.asked++;
-            this.startCall({ askedAt: at, attemptedAt: at, caller, mayReturn: true });
+            this.count(organisation, "asked");
+            this.startCall({ askedAt: at, attemptedAt: at, caller, mayReturn: true, organisation });
             const nextAt = at - Math.log(1 - this.random.nextFraction()) / perMs;
             if (nextAt < durationMs) {
                 this.schedule(nextAt, arrive);
@@ -132,7 +148,30 @@
         }
         const { busyMs, ...result } = this.result;
         const utilization = busyMs / (durationMs * targets * slots);
-        return { ...result, utilization, refusalTimesMs: this.refusalTimesMs, arrivals: this.arrivals };
+        const { refusalTimesMs, arrivals, organisations } = this;
+        return { ...result, utilization, refusalTimesMs, arrivals, organisations };
+    }
+
+    private pickOrganisation(): string | undefined {
+        const { organisations } = this.load;
+        if (organisations === undefined) {
+            return undefined;
+        }
+        let left = this.random.nextFraction() * [...organisations.values()].reduce((sum, rate) => sum + rate, 0);
+        for (const [name, rate] of organisations) {
+            left -= rate;
+            if (left < 0) {
+                return name;
+            }
+        }
+        return undefined;
+    }
+
+    private count(organisation: string | undefined, result: keyof PlayedOrganisation): void {
+        const counts = organisation === undefined ? undefined : this.organisations.get(organisation);
+        if (counts !== undefined) {
+            counts[result]++;
+        }
     }
 
     private schedule(at: Milliseconds, run: () => void): void {
@@ -162,6 +201,7 @@
             route,
             service: "s",
             priority: route.priority,
+            organisation: call.organisation,
             isInner: false,
             isFromRepeat: false,
             deadlineAt: call.askedAt + deadlineMs,
@@ -190,6 +230,7 @@
             case PlanActionKind.Answer: {
                 const isInTime = this.clock.now() - call.askedAt <= this.load.route.latencyObjectiveMs;
                 this.result[isInTime ? "inTime" : "late"]++;
+                this.count(call.organisation, isInTime ? "inTime" : "late");
                 this.latencies.latenciesOf(this.load.route.name).record(this.clock.now() - call.attemptedAt);
                 return;
             }
@@ -253,6 +294,7 @@
                 callId: key,
                 route: route.name,
                 priority: route.priority,
+                organisation: call.organisation,
                 isInner: false,
                 spareOnly,
                 objectiveAt: (this.load.tracksAges ? call.askedAt : call.attemptedAt) + route.latencyObjectiveMs,
@@ -261,6 +303,7 @@
             });
             if (decision.kind === OfferDecisionKind.Queued) {
                 this.later(networkDelayMs, () => carryOut(plan.handleQueued(attempt)));
+                this.apply(decision.evicted === undefined ? [] : [decision.evicted]);
                 this.expireLater(queue);
             }
             else {
--- a/coordination/forwarding/test/targetQueue.test.ts
+++ b/coordination/forwarding/test/targetQueue.test.ts
@@ -172,6 +172,48 @@
         });
     });
 
+    describe("with several organisations", () => {
+        const fillQueue = (changes: Partial<OfferedCall>): string[] => {
+            fill();
+            const queued: string[] = [];
+            let call = createCall(changes);
+            while (queue.offer(call).kind === OfferDecisionKind.Queued) {
+                queued.push(call.callId);
+                call = createCall(changes);
+            }
+            return queued;
+        };
+
+        it("queues a call of one without any, and refuses the last one of that which fills the queue", () => {
+            const queued = fillQueue({ organisation: "large" });
+            const decision = queue.offer(createCall({ organisation: "small" }));
+            expect(decision).toMatchObject({
+                kind: OfferDecisionKind.Queued,
+                evicted: { callId: queued.at(-1), reason: CallReason.Overloaded },
+            });
+            expect(queue.queuedCalls).toBe(queued.length);
+            expect(queue.offer(createCall({ organisation: "large" })).kind).toBe(OfferDecisionKind.Refused);
+        });
+
+        it("starts the calls of the least served one first, within a priority", () => {
+            const running = fill();
+            const ids = ["large", "large", "small"].map(organisation => offer({ organisation }));
+            const urgent = offer({ organisation: "large", priority: 0 });
+            clock.advance(100);
+            const granted = queue.finish(running[0], RunResult.Answered).map(({ callId }) => callId);
+            expect(granted).toEqual([urgent]);
+            expect(queue.finish(running[1], RunResult.Answered).map(({ callId }) => callId)).toEqual([ids[2]]);
+        });
+
+        // An inner call's parent holds a slot, and a call of another priority does not compete for the same share.
+        it.each([{ isInner: true }, { priority: 0 }, { priority: 2 }])("never refuses queued calls with %j for it", changes => {
+            const queued = fillQueue({ organisation: "large", ...changes });
+            const decision = queue.offer(createCall({ organisation: "small" }));
+            expect(decision).not.toHaveProperty("evicted", expect.anything());
+            expect(queue.queuedCalls).toBe(queued.length + (decision.kind === OfferDecisionKind.Queued ? 1 : 0));
+        });
+    });
+
     describe("large responses", () => {
         it("are refused while the link cannot send them before the deadline", () => {
             linkBacklogMs = 900;
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -206,9 +206,9 @@
             latencies: this.latencies,
             mayRepeat: () => options.quarantine.check(call.offer.fingerprint).kind !== QuarantineDecisionKind.Held,
         };
-        const { priority, isInner } = call.offer;
+        const { priority, organisation, isInner } = call.offer;
         const isFromRepeat = call.parent?.isRepeat === true;
-        const planned = { route, service, priority, isInner, isFromRepeat, deadlineAt: call.deadlineAt };
+        const planned = { route, service, priority, organisation, isInner, isFromRepeat, deadlineAt: call.deadlineAt };
         const plan = new CallPlan(services, planned, this.responseSizes.meanBytes(route.name));
         const bodyAccount = options.bufferBudget.open();
         bodyAccount.set(call.body.length);
--- a/daemons/sidecar/src/tasks/targetTask.ts
+++ b/daemons/sidecar/src/tasks/targetTask.ts
@@ -203,6 +203,7 @@
             callId: key,
             route: offer.route,
             priority: offer.priority,
+            organisation: offer.organisation,
             isInner: offer.isInner,
             spareOnly: offer.spareOnly,
             objectiveAt: now + offer.objectiveMs,
@@ -228,6 +229,7 @@
         switch (decision.kind) {
             case OfferDecisionKind.Queued:
                 this.pending.get(decision.callId)?.incoming.reportQueued();
+                this.applyQueueEvents(decision.evicted === undefined ? [] : [decision.evicted]);
                 return this.scheduleExpiry();
             case OfferDecisionKind.Granted:
             case OfferDecisionKind.Refused:
