Count calls and refusals by organisation

Cause: an operator who is told that an organisation is refused needs its counts, and the number of organisations has no bound.

bilberrycroft_organisation_calls_total has the ten largest organisations by name and all others as other, each by outcome and reason. Refusals after the key is accepted now name the organisation too. Nothing is rendered without organisations.

Ruled out: a series for each organisation up to a limit in order of appearance, because a large one that appears late would be hidden.

--- a/daemons/sidecar/src/metrics.ts
+++ b/daemons/sidecar/src/metrics.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import { CallOutcome, type CallReason } from "@bilberrycroft/protocol.calls";
 import { LatencyHistogram } from "@bilberrycroft/state.histograms";
+import { OrganisationCounters } from "./organisationCounters";
 
 /** A call that has ended, as seen by the caller's node. */
 export interface CompletedCall {
@@ -9,6 +10,8 @@
     readonly outcome: CallOutcome;
     readonly reason: CallReason | undefined;
     readonly latencyMs: Milliseconds;
+    /** `undefined` for a call that belongs to none. */
+    readonly organisation?: string | undefined;
 }
 
 /** A value that is read when the metrics are rendered. */
@@ -27,8 +30,10 @@
 export class CallMetrics {
     private readonly latencies = new Map<string, LatencyHistogram>();
     private readonly outcomes = new Map<string, number>();
+    private readonly organisations = new OrganisationCounters();
 
-    recordCall({ service, outcome, reason, latencyMs }: CompletedCall): void {
+    recordCall({ service, outcome, reason, latencyMs, organisation }: CompletedCall): void {
+        this.recordOrganisation(organisation, outcome, reason);
         const label = this.latencies.has(service) || this.latencies.size < maxServiceLabels - 1 ? service : otherLabel;
         const histogram = this.latencies.get(label) ?? new LatencyHistogram();
         this.latencies.set(label, histogram);
@@ -37,12 +42,23 @@
         this.outcomes.set(key, (this.outcomes.get(key) ?? 0) + 1);
     }
 
-    /** Counts a call that was refused before a service was chosen for it. */
-    recordRefusal(reason: CallReason): void {
+    /** Counts a call that was refused before it was offered to a target. */
+    recordRefusal(reason: CallReason, organisation?: string): void {
+        this.recordOrganisation(organisation, CallOutcome.NotRun, reason);
         const key = `service="",outcome="${CallOutcome.NotRun}",reason="${reason}"`;
         this.outcomes.set(key, (this.outcomes.get(key) ?? 0) + 1);
     }
 
+    private recordOrganisation(
+        organisation: string | undefined,
+        outcome: CallOutcome,
+        reason: CallReason | undefined,
+    ): void {
+        if (organisation !== undefined) {
+            this.organisations.record(organisation, `outcome="${outcome}",reason="${reason ?? ""}"`);
+        }
+    }
+
     /** Renders all metrics and the given gauges in the Prometheus text format. */
     render(gauges: readonly Gauge[]): string {
         const lines = [
@@ -52,12 +68,32 @@
             `# HELP ${prefix}call_latency_ms Latency of calls by service, in milliseconds.`,
             `# TYPE ${prefix}call_latency_ms summary`,
             ...[...this.latencies].flatMap(([service, histogram]) => renderSummary(service, histogram)),
+            ...this.renderOrganisations(),
         ];
         for (const { name, help, read } of gauges) {
             lines.push(`# HELP ${prefix}${name} ${help}`, `# TYPE ${prefix}${name} gauge`, `${prefix}${name} ${read()}`);
         }
         return `${lines.join("\n")}\n`;
     }
+
+    /** Nothing in a deployment without organisations. */
+    private renderOrganisations(): readonly string[] {
+        const counts = this.organisations.list();
+        const name = `${prefix}organisation_calls_total`;
+        return counts.length === 0
+            ? []
+            : [
+                    `# HELP ${name} Calls by organisation (the ten largest, others together), outcome and reason.`,
+                    `# TYPE ${name} counter`,
+                    ...counts.map(({ organisation, labels, count }) =>
+                        `${name}{organisation="${escapeLabel(organisation)}",${labels}} ${count}`),
+                ];
+    }
+}
+
+/** Escapes the value of a label, as the text format requires; names of organisations contain no line breaks. */
+function escapeLabel(value: string): string {
+    return value.replaceAll("\\", "\\\\").replaceAll("\"", "\\\"");
 }
 
 function renderSummary(service: string, histogram: LatencyHistogram): string[] {
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -185,7 +185,7 @@
             const { organisation } = call.offer;
             options.log.warn("call-quarantined", { call: head.callId, route: route.name, organisation, retryAfterMs });
             const reason = CallReason.Quarantined;
-            options.metrics.recordRefusal(reason);
+            options.metrics.recordRefusal(reason, organisation);
             sendLocalResponse(response, options.codec, { callId: head.callId, reason, retryAfterMs });
             return;
         }
@@ -193,7 +193,7 @@
             const reason = CallReason.Draining;
             const { version, offer: { organisation } } = call;
             options.log.info("call-refused", { call: head.callId, route: route.name, version, organisation, reason });
-            options.metrics.recordRefusal(reason);
+            options.metrics.recordRefusal(reason, organisation);
             const remainingMs = Math.max(minStopRetryAfterMs, this.processEndsAt - options.clock.now());
             const retryAfterMs = limitRetryAfter(remainingMs, call.deadlineAt - options.clock.now());
             sendLocalResponse(response, options.codec, { callId: head.callId, reason, retryAfterMs });
@@ -266,7 +266,15 @@
     private recordEnd(call: AcceptedCall, service: string, end: CallEnd): void {
         const { clock, log, metrics } = this.options;
         const latencyMs = clock.now() - call.startedAt;
-        metrics.recordCall({ route: call.route, service, outcome: end.outcome, reason: end.reason, latencyMs });
+        const { organisation } = call.offer;
+        metrics.recordCall({
+            route: call.route,
+            service,
+            outcome: end.outcome,
+            reason: end.reason,
+            latencyMs,
+            organisation,
+        });
         if (end.outcome === CallOutcome.Done) {
             this.latencies.latenciesOf(call.route).record(latencyMs);
             this.responseSizes.add(call.route, end.responseBytes);
