--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -185,7 +185,7 @@
             const { organisation } = call.offer;
             options.log.warn("call-quarantined", { call: head.callId, route: route.name, organisation, retryAfterMs });
             const reason = CallReason.Quarantined;
-            options.metrics.recordRefusal(reason);
+            options.metrics.recordRefusal(reason, organisation);
             sendLocalResponse(response, options.codec, { callId: head.callId, reason, retryAfterMs });
             return;
         }
@@ -193,7 +193,7 @@
             const reason = CallReason.Draining;
             const { version, offer: { organisation } } = call;
             options.log.info("call-refused", { call: head.callId, route: route.name, version, organisation, reason });
-            options.metrics.recordRefusal(reason);
+            options.metrics.recordRefusal(reason, organisation);
             const remainingMs = Math.max(minStopRetryAfterMs, this.processEndsAt - options.clock.now());
             const retryAfterMs = limitRetryAfter(remainingMs, call.deadlineAt - options.clock.now());
             sendLocalResponse(response, options.codec, { callId: head.callId, reason, retryAfterMs });
@@ -206,9 +206,9 @@
             latencies: this.latencies,
             mayRepeat: () => options.quarantine.check(call.offer.fingerprint).kind !== QuarantineDecisionKind.Held,
         };
-        const { priority, isInner } = call.offer;
+        const { priority, organisation, isInner } = call.offer;
         const isFromRepeat = call.parent?.isRepeat === true;
-        const planned = { route, service, priority, isInner, isFromRepeat, deadlineAt: call.deadlineAt };
+        const planned = { route, service, priority, organisation, isInner, isFromRepeat, deadlineAt: call.deadlineAt };
         const plan = new CallPlan(services, planned, this.responseSizes.meanBytes(route.name));
         const bodyAccount = options.bufferBudget.open();
         bodyAccount.set(call.body.length);
@@ -266,7 +266,15 @@
     private recordEnd(call: AcceptedCall, service: string, end: CallEnd): void {
         const { clock, log, metrics } = this.options;
         const latencyMs = clock.now() - call.startedAt;
-        metrics.recordCall({ route: call.route, service, outcome: end.outcome, reason: end.reason, latencyMs });
+        const { organisation } = call.offer;
+        metrics.recordCall({
+            route: call.route,
+            service,
+            outcome: end.outcome,
+            reason: end.reason,
+            latencyMs,
+            organisation,
+        });
         if (end.outcome === CallOutcome.Done) {
             this.latencies.latenciesOf(call.route).record(latencyMs);
             this.responseSizes.add(call.route, end.responseBytes);
