--- a/protocol/forwarding/src/index.ts
+++ b/protocol/forwarding/src/index.ts
@@ -1,5 +1,7 @@
 export * from "./frames";
 export * from "./messages";
 export * from "./relayMessages";
+export * from "./rolloutPlan";
 export * from "./targetEntry";
 export * from "./targetLoad";
+export * from "./versionCounts";
--- a/protocol/forwarding/src/messages.ts
+++ b/protocol/forwarding/src/messages.ts
@@ -9,6 +9,7 @@
 import { isNumber, isRecord, isText, parseJson, type UncheckedFields } from "@bilberrycroft/core.json";
 import { CallReason, describeInvalidHeader, isHeaderName } from "@bilberrycroft/protocol.calls";
 import { parseTargetLoad, type TargetLoad } from "./targetLoad";
+import { parseVersionCounts, type VersionCounts } from "./versionCounts";
 
 /** Headers of a forwarded request or response. */
 export type ForwardedHeaders = Record<string, string | string[]>;
@@ -66,6 +67,8 @@
 export interface NodeReport {
     readonly load: TargetLoad;
     readonly state: StateVersions;
+    /** Only in reply to `ReportRequest`, while a rollout of the target's service is active. */
+    readonly counts?: VersionCounts | undefined;
 }
 
 /** The call was refused and did not run. */
@@ -182,7 +185,8 @@
 function parseReport(value: unknown): NodeReport | undefined {
     const load = isRecord(value) ? parseTargetLoad(value.load) : undefined;
     const state = isRecord(value) ? parseStateVersions(value.state) : undefined;
-    return load === undefined || state === undefined ? undefined : { load, state };
+    const counts = isRecord(value) && value.counts !== undefined ? parseVersionCounts(value.counts) : undefined;
+    return load === undefined || state === undefined ? undefined : { load, state, counts };
 }
 
 export function parseStateVersions(value: unknown): StateVersions | undefined {
--- a/protocol/forwarding/src/targetEntry.ts
+++ b/protocol/forwarding/src/targetEntry.ts
@@ -4,6 +4,7 @@
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import { isNumber, isRecord, isText } from "@bilberrycroft/core.json";
 import { isSocketAddress } from "@bilberrycroft/protocol.calls";
+import { parseVersion } from "./rolloutPlan";
 
 /** Lifecycle phase that a target announces. */
 export enum TargetPhase {
@@ -21,6 +22,8 @@
     readonly startedAt: Milliseconds;
     /** End of the target's warm-up, in milliseconds since the epoch. */
     readonly coldUntil: Milliseconds;
+    /** `undefined` if the target names none, or if versions are ignored. */
+    readonly version?: string | undefined;
 }
 
 /** A request that was in flight when the target crashed. */
@@ -94,7 +97,8 @@
     const isValid = isLabel(id) && isLabel(service) && isNumber(slots) && slots >= 1 && slots <= maxSlots
         && (phase === TargetPhase.Ready || phase === TargetPhase.Draining)
         && isTime(startedAt) && isTime(coldUntil);
-    return isValid ? { id, service, slots, phase, startedAt, coldUntil } : undefined;
+    const version = parseVersion(value.version);
+    return isValid ? { id, service, slots, phase, startedAt, coldUntil, version } : undefined;
 }
 
 function parseCrash(value: unknown): AnnouncedCrash[] {
