Choose targets by version while a rollout runs

Cause: versions of targets were not read, so a new version got calls as soon as its targets were announced. The directory draws each call once to a version by the plan's share, and does not use a version that appears without an order beside the known ones. Ruled out: a fallback from the old version to the new one when all old targets were tried; it would add to the exposure. Tests: versionSplit.test.ts (11), adapter.test.ts, targetDirectory.test.ts, callPlan.test.ts and registration pass.

--- a/coordination/forwarding/src/callPlan.ts
+++ b/coordination/forwarding/src/callPlan.ts
@@ -18,6 +18,7 @@
 import type { RetryBudgets } from "./retryBudgets";
 import type { RouteLatencyTable } from "./routeLatencyTable";
 import type { TargetCandidate, TargetDirectory } from "./targetDirectory";
+import type { VersionSide } from "./versionSplit";
 
 type Refusal = Extract<AttemptEnd, { kind: AttemptEndKind.Refused | AttemptEndKind.NotRun }>;
 
@@ -67,6 +68,8 @@
     private retryAfterMs: Milliseconds | undefined;
     private reason = CallReason.NoTarget;
     private isFinished = false;
+    /** Drawn once for each call, so that repeats do not add to the exposure of a new version. */
+    private side: VersionSide | undefined;
 
     constructor(
         private readonly dependencies: PlanDependencies,
@@ -233,7 +236,9 @@
     private chooseCandidate(): TargetCandidate | undefined {
         const { service, route, priority, isInner } = this.call;
         const { directory } = this.dependencies;
-        const request = { service, route, exclude: this.triedNodes, responseBytes: this.responseBytes };
+        this.side ??= directory.drawVersion(service, route.name);
+        const { side, triedNodes: exclude, responseBytes } = this;
+        const request = { service, route, exclude, responseBytes, side };
         if (isInner) {
             return directory.choose(request);
         }
--- a/coordination/forwarding/src/index.ts
+++ b/coordination/forwarding/src/index.ts
@@ -14,4 +14,5 @@
 export * from "./runTimes";
 export * from "./targetDirectory";
 export * from "./targetQueue";
+export * from "./versionSplit";
 export * from "./weightedRoundRobin";
--- a/coordination/forwarding/src/targetDirectory.ts
+++ b/coordination/forwarding/src/targetDirectory.ts
@@ -7,11 +7,18 @@
  */
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import type { Random } from "@bilberrycroft/core.random";
-import { type NodeEntry, type TargetIncarnation, type TargetLoad, TargetPhase } from "@bilberrycroft/protocol.forwarding";
+import {
+    type NodeEntry,
+    type RolloutPlan,
+    type TargetIncarnation,
+    type TargetLoad,
+    TargetPhase,
+} from "@bilberrycroft/protocol.forwarding";
 import type { Route } from "@bilberrycroft/state.routes";
 import { evictOldestIfFull } from "./boundedMap";
 import { type OverloadRefusal, PeerRecord } from "./peerRecord";
 import { computeRank, selectSubset, sortByRank } from "./targetSubset";
+import { type VersionSide, VersionSplit } from "./versionSplit";
 
 export interface TargetDirectoryOptions {
     readonly clock: Clock;
@@ -22,6 +29,8 @@
     readonly zone: string;
     /** Called when a node becomes unhealthy and has to be probed. */
     readonly onUnhealthy?: () => void;
+    /** Whether targets are chosen by their versions; versions are ignored otherwise. */
+    readonly usesVersions?: boolean;
 }
 
 /** A target that may be offered a call. */
@@ -43,6 +52,8 @@
     readonly exclude: ReadonlySet<string>;
     /** Average response size on the route. */
     readonly responseBytes: number;
+    /** Version that the call was drawn to; `undefined` if there was no choice. */
+    readonly side?: VersionSide | undefined;
 }
 
 /** Run time estimate for a route before any of its calls has ended. */
@@ -78,7 +89,26 @@
      */
     private readonly leavingTargets = new Map<string, TargetIncarnation>();
 
-    constructor(private readonly options: TargetDirectoryOptions) {}
+    private readonly versions: VersionSplit | undefined;
+
+    constructor(private readonly options: TargetDirectoryOptions) {
+        this.versions = options.usesVersions === true ? new VersionSplit(options.random) : undefined;
+    }
+
+    /** Replaces the plans of rollouts. Must be called before `setEntries` if both change. */
+    setRollouts(plans: readonly RolloutPlan[]): void {
+        this.versions?.setPlans(plans);
+    }
+
+    /** Draws the version of a call that is offered for the first time. */
+    drawVersion(service: string, route: string): VersionSide | undefined {
+        return this.versions?.draw(service, route);
+    }
+
+    /** Versions of the service that may be used without a plan. */
+    knownVersionsOf(service: string): readonly string[] {
+        return this.versions?.knownVersionsOf(service) ?? [];
+    }
 
     /** Replaces the table of nodes; keeps the observations of nodes that remain. */
     setEntries(entries: readonly NodeEntry[]): void {
@@ -95,6 +125,7 @@
                 existing.update(entry);
             }
         }
+        this.versions?.setEntries(entries);
         this.indexByService();
     }
 
@@ -167,8 +198,7 @@
 
     /** Target with the lowest cost; `undefined` if none is eligible. Healthy nodes take precedence. */
     choose(request: CandidateRequest): TargetCandidate | undefined {
-        const targets = this.byService.get(request.service) ?? [];
-        const candidates = this.selectCandidates(targets, request);
+        const candidates = this.selectCandidates(request);
         const { priority } = request;
         if (priority === undefined) {
             return this.findCheapest(candidates, request);
@@ -184,7 +214,7 @@
      */
     overloadDelayMs(request: CandidateRequest & { readonly priority: number }): Milliseconds | undefined {
         const now = this.options.clock.now();
-        const delays = this.selectCandidates(this.byService.get(request.service) ?? [], request)
+        const delays = this.selectCandidates(request)
             .map(record => record.overloadDelayMs(request.priority, now));
         const known = delays.filter(delayMs => delayMs !== undefined);
         return known.length === 0 || known.length < delays.length ? undefined : Math.min(...known);
@@ -200,7 +230,15 @@
         this.records.get(node)?.recordGrant(priority);
     }
 
-    private selectCandidates(targets: readonly PeerRecord[], { exclude }: CandidateRequest): PeerRecord[] {
+    private selectCandidates({ service, side, exclude }: CandidateRequest): PeerRecord[] {
+        const ofService = this.byService.get(service) ?? [];
+        const targets = this.versions?.select({
+            service,
+            side,
+            targets: ofService,
+            accepts: ({ entry }) => this.acceptsCalls(entry),
+            isTried: ({ entry }) => exclude.has(entry.node),
+        }) ?? ofService;
         const isEligible = ({ entry }: PeerRecord): boolean =>
             this.acceptsCalls(entry) && !exclude.has(entry.node);
         const healthy = selectSubset(targets, record => record.isHealthy && isEligible(record));
--- a/coordination/registration/src/localTarget.ts
+++ b/coordination/registration/src/localTarget.ts
@@ -152,13 +152,14 @@
     }
 
     private createAnnouncement(heartbeat: TargetHeartbeat, before: AnnouncedTarget | undefined): AnnouncedTarget {
-        const { id, service, slots, startedAt = 0, remainingColdMs, phase } = heartbeat;
+        const { id, service, slots, startedAt = 0, remainingColdMs, phase, version } = heartbeat;
         if (before !== undefined && before.id === id && before.startedAt === startedAt) {
             const wasDraining = before.phase === TargetPhase.Draining;
             return { ...before, slots, phase: wasDraining ? TargetPhase.Draining : phase };
         }
         const coldUntil = remainingColdMs > 0 ? Math.round(this.options.clock.wallTime() + remainingColdMs) : 0;
-        return { id, service, slots, phase, startedAt, coldUntil };
+        const announced = { id, service, slots, phase, startedAt, coldUntil };
+        return version === undefined ? announced : { ...announced, version };
     }
 
     private addEndedIncarnation(id: string, startedAt: Milliseconds | undefined): void {
--- a/coordination/registration/src/types.ts
+++ b/coordination/registration/src/types.ts
@@ -17,6 +17,8 @@
     readonly sequence: number;
     /** Wall time of the target's start; `undefined` if the target does not report it. */
     readonly startedAt: Milliseconds | undefined;
+    /** `undefined` if the target names none. */
+    readonly version?: string | undefined;
 }
 
 /** Permanent departure of a target. */
--- a/daemons/sidecar/src/settings.ts
+++ b/daemons/sidecar/src/settings.ts
@@ -23,4 +23,16 @@
     /** Time from SIGTERM to SIGKILL. */
     readonly graceMs: Milliseconds;
     readonly retryBudget: SharedRetryBudget;
+    /** Bounds of rollouts; `undefined` if versions are ignored. */
+    readonly rollout?: RolloutBounds | undefined;
+}
+
+/** What a bad version may get of its service's calls. */
+export interface RolloutBounds {
+    /** Share of the calls between the order and its deadline. */
+    readonly exposureShare: number;
+    /** Calls in addition to the share. */
+    readonly exposureSlack: number;
+    /** Time after the 50th bad response from which it gets no calls. */
+    readonly rollbackMs: Milliseconds;
 }
