Let a status be written beside an object's value

Cause: the state of a rollout is told to the operator in the status of the order, under the revision that was read. MemoryCollection is a collection in memory for tests; there was none (MemoryStore has single objects by key).

--- a/daemons/sidecar/test/collectionTask.test.ts
+++ b/daemons/sidecar/test/collectionTask.test.ts
@@ -51,6 +51,7 @@
 
     create = (): Promise<CollectionWrite> => Promise.reject(new Error("not used"));
     replace = (): Promise<CollectionWrite> => Promise.reject(new Error("not used"));
+    replaceStatus = (): Promise<CollectionWrite> => Promise.reject(new Error("not used"));
     remove = (): Promise<CollectionWrite> => Promise.reject(new Error("not used"));
 }
 
--- a/protocol/store/src/collections.ts
+++ b/protocol/store/src/collections.ts
@@ -13,6 +13,8 @@
     readonly revision: number;
     /** Parsed JSON. The shape is not validated, because other processes write too. */
     readonly value: unknown;
+    /** What the system tells the writer of the value; parsed JSON, `undefined` if there is none. */
+    readonly status?: unknown;
 }
 
 export interface CollectionChange {
@@ -67,5 +69,7 @@
     watch(request: CollectionWatchRequest): Promise<CollectionWatch>;
     create(name: string, value: unknown): Promise<CollectionWrite>;
     replace(name: string, value: unknown, revision: number): Promise<CollectionWrite>;
+    /** Replaces the status and leaves the value; the object gets a new revision. */
+    replaceStatus(name: string, status: unknown, revision: number): Promise<CollectionWrite>;
     remove(name: string, revision: number): Promise<CollectionWrite>;
 }
--- a/protocol/store/src/index.ts
+++ b/protocol/store/src/index.ts
@@ -1,6 +1,7 @@
 export * from "./collections";
 export * from "./faults";
 export * from "./keys";
+export * from "./memoryCollection";
 export * from "./memoryStore";
 export * from "./objects";
 export * from "./outcomes";
