Carry out rollouts at the first store reader

Plans are objects of the nodes collection. SourceSelection tells how many readers come first in the common order. Metric rollout_share by service.

--- a/coordination/relay/src/sourceSelection.ts
+++ b/coordination/relay/src/sourceSelection.ts
@@ -57,6 +57,8 @@
 
 export class SourceSelection {
     private zones = new Map<string, RelayNode[]>();
+    /** Nodes of all zones in the common order. */
+    private order: readonly RelayNode[] = [];
     /** Hashes by node name; the table of nodes changes often, the names in it seldom. */
     private ranks = new Map<string, string>();
     private readonly states = new Map<string, FollowedNodeState>();
@@ -68,6 +70,7 @@
         this.ranks = new Map(nodes.map(({ node }) => [node, this.ranks.get(node) ?? hashOf(node)]));
         const ranked = nodes.map(node => ({ node, rank: this.ranks.get(node.node) ?? "" })).sort((left, right) =>
             right.node.processors - left.node.processors || (left.rank < right.rank ? -1 : 1));
+        this.order = ranked.map(({ node }) => node);
         this.zones = new Map();
         for (const { node } of ranked) {
             const inZone = this.zones.get(node.zone) ?? [];
@@ -99,6 +102,15 @@
         return inZone.some(candidate => candidate.node === node) && this.isReader(node);
     }
 
+    /**
+     * Number of nodes of all zones that come before this one in the common order and were heard to read the store.
+     * A reader follows the first reader of each zone, so that all readers agree on the first of all.
+     */
+    countReadersBefore(): number {
+        const position = this.order.findIndex(({ node }) => node === this.options.node);
+        return this.order.slice(0, Math.max(0, position)).filter(({ node }) => this.wasHeardToRead(node)).length;
+    }
+
     /** Returns the current role of this node. Followed nodes without recent messages count as lost. */
     decide(): RelayRole {
         const role = this.chooseRole();
@@ -154,6 +166,12 @@
         return this.states.get(node)?.readsStore === true && !this.isLost(node);
     }
 
+    private wasHeardToRead(node: string): boolean {
+        const state = this.states.get(node);
+        const now = this.options.clock.now();
+        return state?.readsStore === true && now >= state.excludedUntil && now - state.lastSeenAt <= silenceTimeoutMs;
+    }
+
     private isLost(node: string): boolean {
         const state = this.stateOf(node);
         const now = this.options.clock.now();
--- a/coordination/rollouts/src/order.ts
+++ b/coordination/rollouts/src/order.ts
@@ -49,9 +49,11 @@
 }
 
 /** Versions that may be used whatever the plan's phase; the first plan names those that were known before it. */
-function listVersionsInUse({ previous, knownVersions }: NewPlan): readonly string[] {
+function listVersionsInUse({ order, previous, knownVersions }: NewPlan): readonly string[] {
     if (previous === undefined) {
-        return knownVersions;
+        // A node that started after the first target of the new version takes that one for known too.
+        const others = knownVersions.filter(version => version !== order.version);
+        return others.length > 0 ? others : knownVersions;
     }
     return previous.phase === RolloutPhase.Completed ? [previous.version] : previous.versionsBefore;
 }
--- a/daemons/sidecar/src/metrics.ts
+++ b/daemons/sidecar/src/metrics.ts
@@ -15,6 +15,8 @@
 export interface Gauge {
     readonly name: string;
     readonly help: string;
+    /** Gauges with the same name and different labels follow each other. */
+    readonly labels?: Readonly<Record<string, string>>;
     read(): number;
 }
 
@@ -53,13 +55,25 @@
             `# TYPE ${prefix}call_latency_ms summary`,
             ...[...this.latencies].flatMap(([service, histogram]) => renderSummary(service, histogram)),
         ];
-        for (const { name, help, read } of gauges) {
-            lines.push(`# HELP ${prefix}${name} ${help}`, `# TYPE ${prefix}${name} gauge`, `${prefix}${name} ${read()}`);
+        let previous = "";
+        for (const { name, help, labels, read } of gauges) {
+            if (name !== previous) {
+                lines.push(`# HELP ${prefix}${name} ${help}`, `# TYPE ${prefix}${name} gauge`);
+            }
+            previous = name;
+            lines.push(`${prefix}${name}${formatLabels(labels)} ${read()}`);
         }
         return `${lines.join("\n")}\n`;
     }
 }
 
+function formatLabels(labels: Readonly<Record<string, string>> | undefined): string {
+    // JSON escapes quotes, backslashes and line breaks as the format requires.
+    return labels === undefined
+        ? ""
+        : `{${Object.entries(labels).map(([name, value]) => `${name}=${JSON.stringify(value)}`).join(",")}}`;
+}
+
 function renderSummary(service: string, histogram: LatencyHistogram): string[] {
     const { count, p50Ms, p90Ms, p99Ms, maxMs } = histogram.summarize();
     const quantiles: readonly (readonly [string, Milliseconds])[] = [["0.5", p50Ms], ["0.9", p90Ms], ["0.99", p99Ms], ["1", maxMs]];
--- a/daemons/sidecar/src/nodeTable.ts
+++ b/daemons/sidecar/src/nodeTable.ts
@@ -1,4 +1,12 @@
-import { type AnnouncedCrash, type NodeEntry, parseNodeEntry } from "@bilberrycroft/protocol.forwarding";
+import {
+    type AnnouncedCrash,
+    isRolloutPlanName,
+    type NodeEntry,
+    parseNodeEntry,
+    parseRolloutPlan,
+    type RolloutPlan,
+    rolloutPlanName,
+} from "@bilberrycroft/protocol.forwarding";
 import type { CollectionObject } from "@bilberrycroft/protocol.store";
 
 /** Result of an update of the table. */
@@ -9,11 +17,25 @@
     readonly crashes: readonly { readonly node: string; readonly crashes: readonly AnnouncedCrash[] }[];
     /** Names of changed objects that are not valid entries. */
     readonly malformed: readonly string[];
+    /** Plans of rollouts, which are objects of the same collection. */
+    readonly plans: readonly StoredPlan[];
+}
+
+/** A plan with the revision on which the next write depends. */
+export interface StoredPlan {
+    readonly plan: RolloutPlan;
+    readonly revision: number;
+}
+
+/** Decodes an object of the collection: an entry or, where rollouts are enabled, a plan. */
+export function decodeNodeObject(value: unknown, usesRollouts: boolean): NodeEntry | RolloutPlan | undefined {
+    return parseNodeEntry(value) ?? (usesRollouts ? parseRolloutPlan(value) : undefined);
 }
 
 interface ParsedEntry {
     readonly object: CollectionObject;
     readonly entry: NodeEntry | undefined;
+    readonly plan?: RolloutPlan | undefined;
 }
 
 /** Parsed entries of all nodes. */
@@ -32,6 +54,13 @@
                 parsedEntries.set(name, existing);
                 continue;
             }
+            if (isRolloutPlanName(name)) {
+                const plan = parseRolloutPlan(object.value);
+                const isNamed = plan !== undefined && rolloutPlanName(plan.service) === name;
+                parsedEntries.set(name, { object, entry: undefined, plan: isNamed ? plan : undefined });
+                malformed.push(...isNamed ? [] : [name]);
+                continue;
+            }
             const parsed = parseNodeEntry(object.value);
             const entry = parsed?.node === name ? parsed : undefined;
             parsedEntries.set(name, { object, entry });
@@ -47,6 +76,8 @@
         }
         this.parsedEntries = parsedEntries;
         const entries = [...parsedEntries.values()].flatMap(({ entry }) => entry === undefined ? [] : [entry]);
-        return { entries, crashes, malformed };
+        const plans = [...parsedEntries.values()].flatMap(({ object: { revision }, plan }) =>
+            plan === undefined ? [] : [{ plan, revision }]);
+        return { entries, crashes, malformed, plans };
     }
 }
--- a/daemons/sidecar/src/ports.ts
+++ b/daemons/sidecar/src/ports.ts
@@ -2,6 +2,7 @@
  * Interfaces that a platform adapter implements. The sidecar itself contains no platform-specific names.
  */
 import type { IncomingHttpHeaders } from "node:http";
+import type { RolloutOrder, RolloutStatus } from "@bilberrycroft/coordination.rollouts";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import type { ObjectCollection } from "@bilberrycroft/protocol.store";
 import type { MeshConfiguration } from "@bilberrycroft/state.routes";
@@ -83,4 +84,15 @@
     decodeConfiguration(value: unknown): ConfigurationOutcome;
     /** Collection of the node entries. */
     readonly nodes: ObjectCollection;
+    readonly rollouts: RolloutPlatform;
+}
+
+/** Access to the orders of rollouts; used only where rollouts are enabled. */
+export interface RolloutPlatform {
+    /** Collection of the orders, by service. */
+    readonly collection: ObjectCollection;
+    /** Returns `undefined` if the order is malformed. */
+    decodeOrder(value: unknown): RolloutOrder | undefined;
+    encodeStatus(status: RolloutStatus): unknown;
+    decodeStatus(value: unknown): RolloutStatus | undefined;
 }
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -11,7 +11,7 @@
 import { type Clock, type Milliseconds, SystemClock } from "@bilberrycroft/core.clock";
 import { type EventLog, FaultBarrier } from "@bilberrycroft/core.eventLog";
 import { createSeededRandom, type Random } from "@bilberrycroft/core.random";
-import { type AnnouncedCrash, parseNodeEntry, type StateVersions } from "@bilberrycroft/protocol.forwarding";
+import type { AnnouncedCrash, StateVersions } from "@bilberrycroft/protocol.forwarding";
 import { type Listener, splitAddress, startListener, TargetClient } from "@bilberrycroft/transport.calls";
 import {
     type FrameFaultHandler,
@@ -21,7 +21,7 @@
     startOfferListener,
 } from "@bilberrycroft/transport.forwarding";
 import { CallMetrics } from "./metrics";
-import { NodeTable } from "./nodeTable";
+import { decodeNodeObject, NodeTable, type StoredPlan } from "./nodeTable";
 import type { MeshPlatform } from "./ports";
 import type { SidecarSettings } from "./settings";
 import { CallerTask } from "./tasks/callerTask";
@@ -30,6 +30,7 @@
 import { ProbeTask } from "./tasks/probeTask";
 import { RegistrationTask } from "./tasks/registrationTask";
 import { RelayTask } from "./tasks/relayTask";
+import { RolloutTask } from "./tasks/rolloutTask";
 import { TargetTask } from "./tasks/targetTask";
 
 export interface SidecarOptions {
@@ -51,6 +52,10 @@
 const configurationBatchDelayMs: Milliseconds = 600;
 /** A stale node table costs little: the target's node refuses the call, which is immediately retried elsewhere. */
 const nodeBatchDelayMs: Milliseconds = 1_000;
+/** The duration of an order runs while it waits, and orders are rare. */
+const orderBatchDelayMs: Milliseconds = 0;
+/** Long, because each watch costs and orders are rare. Two nodes watch, so that a silent connection hides no order. */
+const orderWatchWaitMs: Milliseconds = 20_000;
 /** Callers stop using the node after two failed readiness checks one second apart; includes time for the second one. */
 const readinessPropagationMs: Milliseconds = 2_300;
 const stopPollIntervalMs: Milliseconds = 50;
@@ -80,6 +85,9 @@
     private readonly targetTask: TargetTask;
     private readonly probeTask: ProbeTask;
     private readonly relayTask: RelayTask;
+    /** `undefined` if versions are ignored. */
+    private readonly rolloutTask: RolloutTask | undefined;
+    private plans: readonly StoredPlan[] = [];
     private readonly nodeTable = new NodeTable();
     private callerListener: Listener | undefined;
     private offerListener: OfferListener | undefined;
@@ -105,13 +113,15 @@
             node: settings.node,
             zone: settings.zone,
             onUnhealthy: () => this.probeTask.schedule(),
+            usesVersions: settings.rollout !== undefined,
         });
         this.directory = directory;
         this.quarantine = new Quarantine({ node: settings.node, clock });
         this.retryBudgets = new RetryBudgets({ clock, bound: settings.retryBudget, countNodes: () => directory.size });
         this.configurationCollection
             = this.createCollectionTask("configuration", platform.configurations, configurationBatchDelayMs, value => value);
-        this.nodeCollection = this.createCollectionTask("nodes", platform.nodes, nodeBatchDelayMs, parseNodeEntry);
+        this.nodeCollection = this.createCollectionTask("nodes", platform.nodes, nodeBatchDelayMs, value =>
+            decodeNodeObject(value, settings.rollout !== undefined));
         this.configurationTask = new ConfigurationTask({ platform, log });
         const localTarget = new LocalTarget({
             clock,
@@ -138,11 +148,13 @@
             faults: this.faults,
             handlePeerVersions: versions => this.handlePeerVersions(versions),
         });
+        const selection = new SourceSelection({ clock, node: settings.node, zone: settings.zone });
+        this.rolloutTask = this.createRolloutTask(selection);
         this.relayTask = new RelayTask({
             clock,
             log,
             faults: this.faults,
-            selection: new SourceSelection({ clock, node: settings.node, zone: settings.zone }),
+            selection,
             configurationCollection: this.configurationCollection,
             configurationTask: this.configurationTask,
             nodeCollection: this.nodeCollection,
@@ -167,7 +179,7 @@
             pacer: this.pacer,
             handleOffer: offer => this.targetTask.handleOffer(offer),
             handleFault: this.handleFrameFault,
-            createReport: () => this.targetTask.createReport(""),
+            createReport: () => this.targetTask.createProbeReport(),
             onFollowerConnected: follower => this.relayTask.addFollower(follower),
             onFollowerDisconnected: follower => this.relayTask.removeFollower(follower),
             getContent: request => this.relayTask.getContent(request),
@@ -176,6 +188,7 @@
         this.relayTask.start();
         this.configurationCollection.start();
         this.nodeCollection.start();
+        this.rolloutTask?.start();
     }
 
     /** Whether the node accepts callers: it has a configuration and the node table, and is not stopping. */
@@ -186,7 +199,8 @@
 
     /** Resolves with `false` if the heartbeat is not from the local target. */
     handleHeartbeat(heartbeat: TargetHeartbeat): Promise<boolean> {
-        return this.registrationTask.handleHeartbeat(heartbeat);
+        const usesVersions = this.options.settings.rollout !== undefined;
+        return this.registrationTask.handleHeartbeat(usesVersions ? heartbeat : { ...heartbeat, version: undefined });
     }
 
     /** Resolves when the departure may be acknowledged. */
@@ -205,6 +219,12 @@
             { name: "target_request_limit", help: "Calls per second that the target accepts; 0 without a limit.", read: () => this.targetTask.requestLimit },
             { name: "buffered_bytes", help: "Bytes of requests and responses held for callers.", read: () => this.bufferBudget.used },
             { name: "faults_confined", help: "Exceptions confined to what caused them.", read: () => this.faults.count },
+            ...this.plans.map(({ plan: { service, version, phase, share } }) => ({
+                name: "rollout_share",
+                help: "Share of a service's calls that a plan gives to a version.",
+                labels: { service, version, phase },
+                read: () => share,
+            })),
             { name: "log_lines_dropped", help: "Log lines dropped.", read: () => this.options.log.dropped },
         ]);
     }
@@ -225,10 +245,41 @@
         collection: MeshPlatform["nodes"],
         batchDelayMs: Milliseconds,
         decode: (value: unknown) => unknown,
+        watchWaitMs?: Milliseconds,
     ): CollectionTask {
         const { clock, random, faults } = this;
         const { log } = this.options;
-        return new CollectionTask({ name, collection, clock, random, log, faults, batchDelayMs, decode });
+        return new CollectionTask({ name, collection, clock, random, log, faults, batchDelayMs, decode, watchWaitMs });
+    }
+
+    private createRolloutTask(selection: SourceSelection): RolloutTask | undefined {
+        const { settings: { rollout: bounds, node }, platform, log } = this.options;
+        if (bounds === undefined) {
+            return undefined;
+        }
+        const { collection, decodeOrder } = platform.rollouts;
+        return new RolloutTask({
+            clock: this.clock,
+            log,
+            faults: this.faults,
+            node,
+            bounds,
+            platform: platform.rollouts,
+            orders: this.createCollectionTask("rollouts", collection, orderBatchDelayMs, decodeOrder, orderWatchWaitMs),
+            plans: platform.nodes,
+            requestReport: (address, timeoutMs) => this.peerClient.requestReport(address, timeoutMs),
+            isReading: () => this.nodeCollection.isCurrent && this.stopping === undefined,
+            countReadersBefore: () => selection.countReadersBefore(),
+            knownVersionsOf: service => this.directory.knownVersionsOf(service),
+            maxCallMs: service => this.maxCallMs(service),
+        });
+    }
+
+    /** Longest timeout of the routes to the service. */
+    private maxCallMs(service: string): Milliseconds {
+        const routes = this.configurationTask.current?.configuration.routes ?? [];
+        return routes.filter(({ services }) => services.some(weighted => weighted.service === service))
+            .reduce((longest, { timeoutMs }) => Math.max(longest, timeoutMs), 0);
     }
 
     private createTargetTask(target: LocalTarget): TargetTask {
@@ -291,9 +342,16 @@
     }
 
     private applyNodeEntries({ objects }: CollectionContent): void {
-        const { entries, crashes, malformed } = this.nodeTable.update(objects);
+        const { entries, crashes, malformed, plans } = this.nodeTable.update(objects);
         malformed.forEach(name => this.options.log.warn("entry-malformed", { name }));
         crashes.forEach(({ node, crashes: added }) => this.mergeCrashes(node, added));
+        if (this.rolloutTask !== undefined) {
+            this.plans = plans;
+            const { service } = this.options.settings;
+            this.directory.setRollouts(plans.map(({ plan }) => plan));
+            this.targetTask.evidence.setPlan(plans.find(({ plan }) => plan.service === service)?.plan);
+            this.rolloutTask.setNodes(entries, plans);
+        }
         this.directory.setEntries(entries);
         this.relayTask.setNodes(entries);
         this.relayTask.handleVersionChange();
@@ -359,6 +417,7 @@
         this.configurationCollection.stop();
         this.nodeCollection.stop();
         this.relayTask.stop();
+        this.rolloutTask?.stop();
         this.targetTask.stop();
         this.probeTask.stop();
         this.peerClient.close();
--- a/daemons/sidecar/src/tasks/collectionTask.ts
+++ b/daemons/sidecar/src/tasks/collectionTask.ts
@@ -34,6 +34,8 @@
      * another writer may be too large or too deeply nested to be encoded again.
      */
     readonly decode: (value: unknown) => unknown;
+    /** Wait of an idle watch; `defaultWatchWaitMs` if not set. */
+    readonly watchWaitMs?: Milliseconds;
 }
 
 /** Content of a collection at a store revision. */
@@ -43,12 +45,12 @@
 }
 
 /** Long enough that idle watches cause few calls; bounds the time to detect a store that stops responding. */
-const watchWaitMs: Milliseconds = 5_000;
+const defaultWatchWaitMs: Milliseconds = 5_000;
 /**
  * First wait of a staggered reader after an event that makes all readers watch anew. If all open connections fall
  * silent, one of two staggered watches is at least this old, so that the node which holds it notices early.
  */
-const staggeredWatchWaitMs: Milliseconds = watchWaitMs / 2;
+const staggeredWaitShare = 0.5;
 /** The minimum wait that a store accepts. */
 const firstWatchWaitMs: Milliseconds = 1;
 /** Bounds of the exponential backoff after failed calls; jitter covers the upper half of each delay. */
@@ -268,16 +270,17 @@
     private chooseWaitMs(): Milliseconds {
         const isFirst = this.hasRestarted;
         this.hasRestarted = false;
-        return isFirst && this.isStaggered ? staggeredWatchWaitMs : watchWaitMs;
+        const { watchWaitMs = defaultWatchWaitMs } = this.options;
+        return isFirst && this.isStaggered ? staggeredWaitShare * watchWaitMs : watchWaitMs;
     }
 
-    private decodeObject({ name, revision, value }: CollectionObject): CollectionObject {
+    private decodeObject({ name, revision, value, status }: CollectionObject): CollectionObject {
         const { faults, decode } = this.options;
         let decoded: unknown;
         faults.run("entry", { name }, () => {
             decoded = decode(value);
         });
-        return { name, revision, value: decoded };
+        return { name, revision, value: decoded, ...(status === undefined ? {} : { status }) };
     }
 
     private publishContent(): void {
--- a/daemons/sidecar/src/tasks/targetTask.ts
+++ b/daemons/sidecar/src/tasks/targetTask.ts
@@ -26,6 +26,7 @@
 import type { ResponsePacer, IncomingOffer } from "@bilberrycroft/transport.forwarding";
 import { type BrokenConnection, TargetCall, type TargetServices } from "../calls/targetCall";
 import type { CallHeaderCodec, TargetResponseHead } from "../ports";
+import { TargetEvidence } from "./targetEvidence";
 
 export interface TargetTaskOptions {
     readonly clock: Clock;
@@ -74,6 +75,8 @@
     private readonly running = new Map<string, Offer>();
     private readonly services: TargetServices;
     private readonly responseSizes = new ResponseSizes();
+    /** What the target's version does during a rollout. */
+    readonly evidence: TargetEvidence;
     private responsesInFlight = 0;
     private availabilityTimer: NodeJS.Timeout | undefined;
     private queueTimer: NodeJS.Timeout | undefined;
@@ -87,6 +90,7 @@
 
     constructor(private readonly options: TargetTaskOptions) {
         const { clock, client, codec, log, targetAddress, target } = options;
+        this.evidence = new TargetEvidence(clock);
         this.services = {
             clock,
             client,
@@ -174,6 +178,13 @@
         };
     }
 
+    /** Returns the report for a node that asks without a call. */
+    createProbeReport(): NodeReport {
+        const report = this.createReport("");
+        const counts = this.evidence.countsOf(this.options.target.announced);
+        return counts === undefined ? report : { ...report, counts };
+    }
+
     handleOffer(incoming: IncomingOffer): void {
         const { callId: call, route } = incoming.message.offer;
         this.options.faults.run("offer", { call, route }, () => this.acceptOffer(incoming), () =>
@@ -281,7 +292,9 @@
     private async runCall(key: string, { incoming, deadlineAt }: PendingOffer, body: Buffer): Promise<void> {
         const { offer } = incoming.message;
         this.running.set(offer.callId, offer);
-        const targetStartedAt = this.options.target.announced?.startedAt ?? 0;
+        const { announced } = this.options.target;
+        const startedAt = this.options.clock.now();
+        const targetStartedAt = announced?.startedAt ?? 0;
         const call = new TargetCall({ incoming, body, deadlineAt, targetStartedAt }, this.services);
         incoming.observe({
             onBody: () => undefined,
@@ -289,6 +302,7 @@
         });
         const result = await call.run();
         this.running.delete(offer.callId);
+        this.evidence.record({ target: announced, route: offer.route, result, startedAt });
         this.responsesInFlight++;
         void call.whenFlushed().then(() => {
             this.responsesInFlight--;
