--- a/coordination/forwarding/src/versionSplit.ts
+++ b/coordination/forwarding/src/versionSplit.ts
@@ -152,7 +152,11 @@
     { targets, accepts }: VersionChoice<Target>,
     versions: ReadonlySet<string> | undefined,
 ): readonly Target[] {
-    const preferred = targets.filter(target => versions?.has(versionOf(target)) === true);
+    const isPreferred = (target: Target): boolean => versions?.has(versionOf(target)) === true;
+    if (targets.every(isPreferred)) {
+        return targets;
+    }
+    const preferred = targets.filter(isPreferred);
     return preferred.some(accepts) ? preferred : targets;
 }
 
--- a/coordination/rollouts/src/order.ts
+++ b/coordination/rollouts/src/order.ts
@@ -31,6 +31,8 @@
     readonly previous: RolloutPlan | undefined;
     /** Versions that may be used without a plan. */
     readonly knownVersions: readonly string[];
+    /** Versions of the targets in the table. */
+    readonly presentVersions: readonly string[];
     readonly exposureShare: number;
     readonly writer: string;
 }
@@ -48,14 +50,15 @@
     return !plan.isWithdrawn && plan.version === order.version && plan.durationMs === order.durationMs;
 }
 
-/** Versions that may be used whatever the plan's phase; the first plan names those that were known before it. */
-function listVersionsInUse({ order, previous, knownVersions }: NewPlan): readonly string[] {
-    if (previous === undefined) {
-        // A node that started after the first target of the new version takes that one for known too.
-        const others = knownVersions.filter(version => version !== order.version);
-        return others.length > 0 ? others : knownVersions;
-    }
-    return previous.phase === RolloutPhase.Completed ? [previous.version] : previous.versionsBefore;
+/** Versions whose targets get the calls now, apart from those under test. */
+function listVersionsInUse({ order, previous, knownVersions, presentVersions }: NewPlan): readonly string[] {
+    const planned = previous?.phase === RolloutPhase.Completed ? [previous.version] : previous?.versionsBefore;
+    const usable = planned ?? knownVersions;
+    // Targets of another version were used if there were no others.
+    const inUse = usable.some(version => presentVersions.includes(version)) ? usable : presentVersions;
+    // A node that started after the first target of the new version takes that one for known too.
+    const others = planned === undefined ? inUse.filter(version => version !== order.version) : [];
+    return others.length > 0 ? others : inUse;
 }
 
 /**
--- a/coordination/rollouts/src/steps.ts
+++ b/coordination/rollouts/src/steps.ts
@@ -21,6 +21,8 @@
     readonly writer: string;
     readonly judgement: Judgement;
     readonly totals: ComparedTotals;
+    /** Whether this node has received any report. */
+    readonly hasReports: boolean;
     /** Whether the target nodes have reported to this node since the last change of the plan. */
     readonly hasEvidence: boolean;
     /** Targets of the new version that serve. */
@@ -174,7 +176,8 @@
     const { plan, elapsedMs, planAgeMs, judgement, hasEvidence, newTargets, oldTargets, isOldIdle } = input;
     const completed = { phase: RolloutPhase.Completed };
     const isSuspected = judgement.verdict === Verdict.Suspected && oldTargets > 0;
-    if (elapsedMs >= plan.durationMs - finalWritesMs) {
+    // A node that hears of no other cannot tell whether the old targets may stop.
+    if (elapsedMs >= plan.durationMs - finalWritesMs && input.hasReports) {
         if (newTargets === 0 && oldTargets > 0) {
             return rollBack(input, StepReason.NoTargets);
         }
--- a/coordination/rollouts/test/rolloutPlay.ts
+++ b/coordination/rollouts/test/rolloutPlay.ts
@@ -75,7 +75,15 @@
     const random = createSeededRandom(seed);
     const order = { service: "s", version: "v2", durationMs };
     const exposureShare = 0.1;
-    let plan = createPlan({ order, revision: 1, previous: undefined, knownVersions: ["v1"], exposureShare, writer: "n" });
+    let plan = createPlan({
+        order,
+        revision: 1,
+        previous: undefined,
+        knownVersions: ["v1"],
+        presentVersions: ["v1", "v2"],
+        exposureShare,
+        writer: "n",
+    });
     let planWrittenAt = 0;
     let inForce: RolloutPlan = plan;
     const history = new EvidenceHistory({ clock, version: "v2", orderRevision: 1 });
@@ -124,6 +132,7 @@
                 writer: "n",
                 judgement,
                 totals: history.totals,
+                hasReports: true,
                 hasEvidence: at - planWrittenAt >= applyMs,
                 newTargets: targetsPerVersion,
                 oldTargets: targetsPerVersion,
--- a/coordination/rollouts/test/steps.test.ts
+++ b/coordination/rollouts/test/steps.test.ts
@@ -19,7 +19,7 @@
 import { describe, expect, it } from "vitest";
 
 const order = { service: "s", version: "v2", durationMs: 12_000 };
-const newPlan = { order, revision: 5, previous: undefined, knownVersions: ["v1"], exposureShare: 0.1, writer: "a" };
+const newPlan = { order, revision: 5, previous: undefined, knownVersions: ["v1"], presentVersions: ["v1", "v2"], exposureShare: 0.1, writer: "a" };
 const testing = createPlan(newPlan);
 const judged = (verdict: Verdict): StepInput["judgement"] => ({
     verdict,
@@ -38,6 +38,7 @@
     writer: "a",
     judgement: judged(Verdict.Sound),
     totals: { before: new Map(), after: new Map() },
+    hasReports: true,
     hasEvidence: true,
     newTargets: 2,
     oldTargets: 2,
@@ -81,6 +82,11 @@
         expect(createPlan({ ...next, previous: inPhase(RolloutPhase.RolledBack) }).versionsBefore).toEqual(["v1"]);
     });
 
+    it("compares with the targets that are there if none is of a known version", () => {
+        const moved = { ...newPlan, presentVersions: ["v2", "v5"] };
+        expect(createPlan(moved)).toMatchObject({ phase: RolloutPhase.Testing, versionsBefore: ["v5"] });
+    });
+
     it("takes the same order as a new one only after it was withdrawn", () => {
         expect(isPlanOf(inPhase(RolloutPhase.RolledBack), order)).toBe(true);
         expect(isPlanOf(withdraw(testing, { elapsedMs: 1, writer: "a" }).plan, order)).toBe(false);
@@ -137,6 +143,11 @@
         expect(decide({ elapsedMs: 13_000, plan: inPhase(RolloutPhase.Drained) })?.[0]).toBe(RolloutPhase.Completed);
     });
 
+    it("does not complete a version if it hears of no node, as the old targets may be in use", () => {
+        const plan = inPhase(RolloutPhase.Drained, { share: 1 });
+        expect(decide({ plan, elapsedMs: 11_500, hasReports: false })).toBeUndefined();
+    });
+
     it("uses the slack where there are few calls, and lowers the share when there are more", () => {
         const totals = { before: new Map([["r", countsOf("r", 20)]]), after: new Map() };
         const raised = decideStep(createInput({ elapsedMs: 2_300, totals }))?.plan;
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -268,7 +268,8 @@
             orders: this.createCollectionTask("rollouts", collection, orderBatchDelayMs, decodeOrder, orderWatchWaitMs),
             plans: platform.nodes,
             requestReport: (address, timeoutMs) => this.peerClient.requestReport(address, timeoutMs),
-            isReading: () => this.nodeCollection.isCurrent && this.stopping === undefined,
+            // What other nodes hear from this one; otherwise two of them would act after an outage of the store.
+            isReading: () => this.relayTask.isAnnouncedReader,
             countReadersBefore: () => selection.countReadersBefore(),
             knownVersionsOf: service => this.directory.knownVersionsOf(service),
             maxCallMs: service => this.maxCallMs(service),
--- a/daemons/sidecar/src/tasks/relayTask.ts
+++ b/daemons/sidecar/src/tasks/relayTask.ts
@@ -89,6 +89,12 @@
         this.updateRole();
     }
 
+    /** Whether this node tells its followers that it reads the store. */
+    get isAnnouncedReader(): boolean {
+        const { configurationCollection, nodeCollection } = this.options;
+        return configurationCollection.isCurrent && nodeCollection.isCurrent && !this.isStopping;
+    }
+
     /** Must be called after each change of the configuration or the nodes. */
     handleVersionChange(): void {
         this.encodedContent.clear();
@@ -239,11 +245,7 @@
     }
 
     private createLocalState(): PeerState {
-        const { configurationCollection, nodeCollection, getLocalVersions } = this.options;
-        return {
-            state: getLocalVersions(),
-            readsStore: configurationCollection.isCurrent && nodeCollection.isCurrent && !this.isStopping,
-        };
+        return { state: this.options.getLocalVersions(), readsStore: this.isAnnouncedReader };
     }
 
     private notifyFollowers(): void {
--- a/daemons/sidecar/src/tasks/rolloutTask.ts
+++ b/daemons/sidecar/src/tasks/rolloutTask.ts
@@ -24,9 +24,9 @@
     type NodeEntry,
     type NodeReport,
     parseRolloutPlan,
-    RolloutPhase,
     type RolloutPlan,
     rolloutPlanName,
+    unnamedVersion,
 } from "@bilberrycroft/protocol.forwarding";
 import { type CollectionWrite, type ObjectCollection, StoreOutcomeKind } from "@bilberrycroft/protocol.store";
 import type { StoredPlan } from "../nodeTable";
@@ -78,7 +78,8 @@
     private readonly orders = new Map<string, Order>();
     private readonly orderSeenAt = new Map<string, Milliseconds>();
     private readonly busyServices = new Set<string>();
-    private readonly reportedOrders = new Set<string>();
+    /** Revisions of malformed orders that are logged, by name. */
+    private readonly reportedOrders = new Map<string, number>();
     private entries: readonly NodeEntry[] = [];
     private timer: NodeJS.Timeout | undefined;
     private readingSince: Milliseconds | undefined;
@@ -148,8 +149,8 @@
         for (const { name, revision, value, status } of objects.values()) {
             const order = value as RolloutOrder | undefined;
             if (order?.service !== name) {
-                if (!this.reportedOrders.has(`${name} ${revision}`)) {
-                    this.reportedOrders.add(`${name} ${revision}`);
+                if (this.reportedOrders.get(name) !== revision) {
+                    this.reportedOrders.set(name, revision);
                     log.warn("rollout-order-malformed", { name, revision });
                 }
                 continue;
@@ -164,6 +165,8 @@
             }
         }
         [...this.orders.keys()].filter(name => !names.has(name)).forEach(name => this.orders.delete(name));
+        [...this.reportedOrders.keys()].filter(name => !objects.has(name))
+            .forEach(name => this.reportedOrders.delete(name));
         // The duration has begun, so the next tick is not awaited.
         this.tick();
     }
@@ -175,7 +178,7 @@
             return;
         }
         if (existing?.continuesWith(stored) === true) {
-            existing.adopt(stored);
+            existing.adopt(stored, this.options.node);
         }
         else {
             this.rollouts.set(stored.plan.service, new ServiceRollout(stored, this.options.clock));
@@ -237,6 +240,7 @@
             revision,
             previous: previous?.plan,
             knownVersions: knownVersionsOf(name),
+            presentVersions: this.listPresentVersions(name),
             exposureShare: bounds.exposureShare,
             writer: node,
         });
@@ -251,6 +255,11 @@
         }
     }
 
+    private listPresentVersions(service: string): readonly string[] {
+        const targets = this.entries.flatMap(({ target }) => target?.service === service ? [target] : []);
+        return [...new Set(targets.map(({ version = unnamedVersion }) => version))];
+    }
+
     private async withdraw(rollout: ServiceRollout): Promise<void> {
         const { plan, revision } = rollout.stored;
         if (plan.isWithdrawn) {
@@ -266,10 +275,9 @@
     }
 
     private async poll(rollout: ServiceRollout): Promise<void> {
-        const { plan, revision } = rollout.stored;
+        const { revision } = rollout.stored;
         const startedAt = this.options.clock.now();
-        const polled = await Promise.all(this.entries
-            .filter(({ target }) => plan.phase === RolloutPhase.Drained || target?.service === plan.service)
+        const polled = await Promise.all(rollout.selectPolledNodes(this.entries)
             .map(async (entry): Promise<PolledNode> => ({
                 entry,
                 report: await this.options.requestReport(entry.address, reportTimeoutMs),
--- a/daemons/sidecar/src/tasks/serviceRollout.ts
+++ b/daemons/sidecar/src/tasks/serviceRollout.ts
@@ -7,6 +7,7 @@
     type Judgement,
     judgeHistory,
     type Step,
+    StepReason,
 } from "@bilberrycroft/coordination.rollouts";
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import {
@@ -48,17 +49,26 @@
 const planApplyMs: Milliseconds = 1_000;
 /** Polls in a row in which nothing must run on the old version, so that offers on their way have arrived. */
 const minIdlePolls = 2;
+/**
+ * Two nodes that both believe that they act would take the plan from each other in every poll, and no step would
+ * follow. Whoever lost the plan leaves it to the other for this time, which is enough for one step.
+ */
+const supersededMs: Milliseconds = 2_500;
 /** A node that misses more reports is not in contact. */
 const maxMissedReports = 2;
 
 export class ServiceRollout {
     private startedAt: Milliseconds;
     private planSeenAt: Milliseconds;
+    private hasReports = false;
     private hasEvidence = false;
     private idlePolls = 0;
+    private supersededAt: Milliseconds = Number.NEGATIVE_INFINITY;
     private readonly history: EvidenceHistory;
     /** Reports missed in a row, by node. */
     private readonly missedReports = new Map<string, number>();
+    /** Nodes that are known to have the present plan. */
+    private readonly informedNodes = new Set<string>();
 
     constructor(private latest: StoredPlan, private readonly clock: Clock) {
         const { version, orderRevision, elapsedMs } = latest.plan;
@@ -84,7 +94,10 @@
     }
 
     /** Replaces the plan by a newer one of the same order. */
-    adopt(stored: StoredPlan): void {
+    adopt(stored: StoredPlan, node: string): void {
+        if (this.latest.plan.writer === node && stored.plan.writer !== node) {
+            this.supersededAt = this.clock.now();
+        }
         if (this.latest.plan.share !== stored.plan.share) {
             this.history.startPeriod();
         }
@@ -93,6 +106,14 @@
         this.startedAt = Math.min(this.startedAt, this.planSeenAt - stored.plan.elapsedMs);
         this.hasEvidence = false;
         this.idlePolls = 0;
+        this.informedNodes.clear();
+    }
+
+    /** Returns the nodes to ask: those of the service, and in `Drained` all that are not known to have the plan. */
+    selectPolledNodes(entries: readonly NodeEntry[]): readonly NodeEntry[] {
+        const { phase, service } = this.latest.plan;
+        return entries.filter(({ node, target }) => target?.service === service
+            || (phase === RolloutPhase.Drained && !this.informedNodes.has(node)));
     }
 
     /** The order was seen at this time. */
@@ -103,14 +124,19 @@
     /** Adds the reports of a poll that began at `startedAt` for this revision of the plan. */
     addReports(polled: readonly PolledNode[], { startedAt, revision }: PollStart): void {
         let hasCounts = false;
+        const isCurrent = this.latest.revision === revision;
         for (const { entry: { node }, report } of polled) {
+            this.hasReports ||= report !== undefined;
+            if (isCurrent && report !== undefined && report.state.registryRevision >= revision) {
+                this.informedNodes.add(node);
+            }
             this.missedReports.set(node, report === undefined ? (this.missedReports.get(node) ?? 0) + 1 : 0);
             if (report?.counts !== undefined) {
                 this.history.add(node, report.counts);
                 hasCounts = true;
             }
         }
-        if (this.latest.revision === revision) {
+        if (isCurrent) {
             this.hasEvidence ||= hasCounts && startedAt - this.planSeenAt >= planApplyMs;
             const isIdle = this.latest.plan.phase === RolloutPhase.Drained && this.isOldIdle(polled);
             this.idlePolls = isIdle ? this.idlePolls + 1 : 0;
@@ -131,6 +157,7 @@
             writer: node,
             judgement,
             totals: this.history.totals,
+            hasReports: this.hasReports,
             hasEvidence: this.hasEvidence,
             newTargets: targets.filter(({ target }) => target?.version === plan.version).length,
             oldTargets: targets.filter(({ target }) => versionsBefore.has(target?.version ?? unnamedVersion)).length,
@@ -138,7 +165,9 @@
             drainMs: maxCallMs,
             exposure: { share: bounds.exposureShare, slack: bounds.exposureSlack },
         });
-        return { step, judgement };
+        const isSuperseded = step?.reason === StepReason.TakenOver
+            && this.clock.now() - this.supersededAt < supersededMs;
+        return { step: isSuperseded ? undefined : step, judgement };
     }
 
     /** Whether all nodes in contact have the plan, and their targets of other versions have nothing to run. */
