--- a/coordination/forwarding/src/index.ts
+++ b/coordination/forwarding/src/index.ts
@@ -15,4 +15,5 @@
 export * from "./runTimes";
 export * from "./targetDirectory";
 export * from "./targetQueue";
+export * from "./versionSplit";
 export * from "./weightedRoundRobin";
--- a/daemons/sidecar/src/settings.ts
+++ b/daemons/sidecar/src/settings.ts
@@ -38,4 +38,16 @@
     /** Whether a removed key must lose its effect within `revocationMs` also while the store is disrupted. */
     readonly strictRevocation: boolean;
     readonly revocationMs: Milliseconds;
+    /** Bounds of rollouts; `undefined` if versions are ignored. */
+    readonly rollout?: RolloutBounds | undefined;
+}
+
+/** What a bad version may get of its service's calls. */
+export interface RolloutBounds {
+    /** Share of the calls between the order and its deadline. */
+    readonly exposureShare: number;
+    /** Calls in addition to the share. */
+    readonly exposureSlack: number;
+    /** Time after the 50th bad response from which it gets no calls. */
+    readonly rollbackMs: Milliseconds;
 }
