--- a/daemons/node/test/faultMatrix/faultMatrix.test.ts
+++ b/daemons/node/test/faultMatrix/faultMatrix.test.ts
@@ -5,6 +5,7 @@
 import { oddInputs } from "./oddInputs";
 import { listCells, renderPage } from "./page";
 import { proofs } from "./proofs";
+import { rolloutFaults } from "./rolloutFaults";
 
 const root = resolve(import.meta.dirname, "../../../..");
 
@@ -23,6 +24,10 @@
         expect(readFileSync(resolve(root, file), "utf8")).toContain(test);
     });
 
+    it.each(rolloutFaults)("names a test that exists: $fault", ({ file, test }) => {
+        expect(readFileSync(resolve(root, file), "utf8")).toContain(test);
+    });
+
     it("uses each proof in at least one cell", () => {
         const unused = Object.entries(proofs).filter(([, proof]) => !proved.includes(proof)).map(([name]) => name);
         expect(unused).toEqual([]);
--- a/daemons/node/test/faultMatrix/page.ts
+++ b/daemons/node/test/faultMatrix/page.ts
@@ -3,6 +3,7 @@
  */
 import { CellKind, Fault, type Invariant, invariantsByStep, Step, toCell } from "./cells";
 import { oddInputs } from "./oddInputs";
+import { rolloutFaults } from "./rolloutFaults";
 import { faultMatrix } from "./table";
 
 const introduction = `# Fault matrix
@@ -63,12 +64,19 @@
     return ["| from | input | test |", "| --- | --- | --- |", ...rows].join("\n");
 }
 
+function renderRolloutFaults(): string {
+    const rows = rolloutFaults.map(({ fault, outcome, file, test }) => `| ${fault} | ${outcome} | \`${file}\`: ${test} |`);
+    return ["| fault | outcome | test |", "| --- | --- | --- |", ...rows].join("\n");
+}
+
 export function renderPage(): string {
     return [
         introduction,
         ...Object.values(Fault).map(fault => `${renderFault(fault)}\n`),
         "## Odd input of others\n",
         `${renderOddInputs()}\n`,
+        "## Faults during a rollout\n",
+        `${renderRolloutFaults()}\n`,
         "## Points of section 2.2\n",
         ...invariants.map(renderInvariant),
         "",
