--- a/daemons/node/test/faultMatrix/oddInputs.ts
+++ b/daemons/node/test/faultMatrix/oddInputs.ts
@@ -18,6 +18,7 @@
 /** The entries and heartbeats that the test file plays. */
 const otherWriterInputs = "platform/soak/otherWriters.ts";
 const messages = "protocol/forwarding/test/messages.test.ts";
+const organisations = "platform/test/organisations.test.ts";
 const silentLink = "platform/test/silentLink.test.ts";
 
 function createInput(from: string, input: string, file: string, test: string): OddInput {
@@ -39,6 +40,13 @@
     createInput("target", "crash within a refusal", calls, "within a refusal are quarantined"),
     createInput("caller", "header name that cannot be sent", invalidHeaders, "is refused with 400 before it reaches a target"),
     createInput("caller", "header name that cannot be sent, to `daemons/node`", malformed, "header name with a space"),
+    createInput("caller", "odd credentials", organisations, "refuse odd credentials with 401"),
+    createInput("caller", "name of an organisation, or a key in a `Connection` header", organisations, "whatever name the client sends"),
+    createInput("caller", "key removed by a version, on a kept connection", organisations, "for pipelined requests"),
+    createInput("caller", "key of a version that this node lacks", organisations, "what a newer version may allow"),
+    createInput("operator", "key that two organisations hold", organisations, "never show a key outside the store"),
+    createInput("operator", "name that a header cannot carry, numbers out of range", "state/routes/test/routes.test.ts", "make the configuration invalid with %s"),
+    createInput("operator", "storm of versions with other keys", organisations, "never refuse a key that all versions of a storm contain"),
     createInput("caller", "refused request without end", "transport/calls/test/discarding.test.ts", "its sender gets the response"),
     createInput("other writer", "port out of range in an entry", otherWriterInputs, "a port above 65535"),
     createInput("other writer", "deeply nested entry", otherWriterInputs, "a deeply nested value"),
