Refuse keys that the store has not confirmed where revocation is strict

Cause: with StrictRevocation, the removal of a key must take effect RevokeS after its acknowledgement, although the node cannot hear of it.

CollectionTask keeps the time up to which the store has confirmed the copy: the start of the last successful request, as a response may have been under way since. With the setting, a node always watches the configuration itself, for at most a quarter of RevokeS, and refuses calls with a key by 503 once RevokeS has passed since that time. Calls without a key are served. Without the setting nothing changes: no additional watch, and no time is compared.

Ruled out: the age of the confirmation in the relay's state, because a late message would look fresh.

--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -51,6 +51,11 @@
 const configurationBatchDelayMs: Milliseconds = 600;
 /** A stale node table costs little: the target's node refuses the call, which is immediately retried elsewhere. */
 const nodeBatchDelayMs: Milliseconds = 1_000;
+/**
+ * Longest wait of a watch, as a share of the time within which a removed key must lose its effect. Two watches, a batch
+ * delay and the round trips fit into that time.
+ */
+const confirmationShare = 0.25;
 /** Callers stop using the node after two failed readiness checks one second apart; includes time for the second one. */
 const readinessPropagationMs: Milliseconds = 2_300;
 const stopPollIntervalMs: Milliseconds = 50;
@@ -109,8 +114,7 @@
         this.directory = directory;
         this.quarantine = new Quarantine({ node: settings.node, clock });
         this.retryBudgets = new RetryBudgets({ clock, bound: settings.retryBudget, countNodes: () => directory.size });
-        this.configurationCollection
-            = this.createCollectionTask("configuration", platform.configurations, configurationBatchDelayMs, value => value);
+        this.configurationCollection = this.createConfigurationCollection();
         this.nodeCollection = this.createCollectionTask("nodes", platform.nodes, nodeBatchDelayMs, parseNodeEntry);
         this.configurationTask = new ConfigurationTask({ platform, log });
         const localTarget = new LocalTarget({
@@ -225,10 +229,26 @@
         collection: MeshPlatform["nodes"],
         batchDelayMs: Milliseconds,
         decode: (value: unknown) => unknown,
+        confirmationMs?: Milliseconds,
     ): CollectionTask {
         const { clock, random, faults } = this;
         const { log } = this.options;
-        return new CollectionTask({ name, collection, clock, random, log, faults, batchDelayMs, decode });
+        const common = { clock, random, log, faults };
+        return new CollectionTask({ ...common, name, collection, batchDelayMs, decode, confirmationMs });
+    }
+
+    private createConfigurationCollection(): CollectionTask {
+        const { settings: { strictRevocation, revocationMs }, platform } = this.options;
+        const confirmationMs = strictRevocation ? revocationMs * confirmationShare : undefined;
+        const batchDelayMs = Math.min(configurationBatchDelayMs, confirmationMs ?? configurationBatchDelayMs);
+        const { configurations } = platform;
+        return this.createCollectionTask("configuration", configurations, batchDelayMs, value => value, confirmationMs);
+    }
+
+    /** A change that the store acknowledged after the last confirmation may be as old as that confirmation. */
+    private isRevocationDue(): boolean {
+        const { strictRevocation, revocationMs } = this.options.settings;
+        return strictRevocation && this.clock.now() - this.configurationCollection.confirmedAt >= revocationMs;
     }
 
     private createTargetTask(target: LocalTarget): TargetTask {
@@ -268,6 +288,7 @@
             metrics,
             budgets: this.retryBudgets,
             findRunningCall: callId => this.targetTask.findRunningCall(callId),
+            isRevocationDue: () => this.isRevocationDue(),
             knowsNewerVersion: version => this.configurationTask.knowsNewerVersion(version),
             service: settings.service,
             getLocalVersions: () => this.getLocalVersions(),
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -35,6 +35,8 @@
     findRunningCall(callId: string): Offer | undefined;
     /** Whether a peer has reported a configuration version newer than the given one. */
     knowsNewerVersion(version: number): boolean;
+    /** Whether a key may have been removed for too long without this node's knowledge, so that none is accepted. */
+    isRevocationDue(): boolean;
     /** Service of the local target. */
     readonly service: string;
 }
@@ -134,6 +136,9 @@
             const reason = isOutdated() ? CallReason.ConfigurationOutdated : CallReason.NotAuthenticated;
             return refuse(reason, undefined, authentication.cause);
         }
+        if (authentication.hasKey && options.isRevocationDue()) {
+            return refuse(CallReason.ConfigurationOutdated, undefined, "unconfirmed key");
+        }
         if (options.bufferBudget.isExhausted && mayHaveBody(request)) {
             return refuse(CallReason.Overloaded);
         }
@@ -310,6 +315,7 @@
 const callWithoutOrganisation: AcceptedAuthentication = {
     kind: AuthenticationKind.Accepted,
     organisation: undefined,
+    hasKey: false,
     priority: undefined,
 };
 
--- a/daemons/sidecar/src/tasks/collectionTask.ts
+++ b/daemons/sidecar/src/tasks/collectionTask.ts
@@ -34,6 +34,11 @@
      * another writer may be too large or too deeply nested to be encoded again.
      */
     readonly decode: (value: unknown) => unknown;
+    /**
+     * Longest wait of a watch for a node that must itself confirm that its copy is current; such a node always reads
+     * the store. `undefined` if the changes that other nodes relay are sufficient.
+     */
+    readonly confirmationMs?: Milliseconds | undefined;
 }
 
 /** Content of a collection at a store revision. */
@@ -80,6 +85,7 @@
     private watchController: AbortController | undefined;
     private behindSince: Milliseconds | undefined;
     private isStopped = false;
+    private confirmed: Milliseconds = Number.NEGATIVE_INFINITY;
     private wake: () => void = () => undefined;
 
     constructor(private readonly options: CollectionTaskOptions) {}
@@ -104,6 +110,11 @@
         return this.table.revision;
     }
 
+    /** Time up to which all changes that the store had acknowledged are applied, as confirmed by the store itself. */
+    get confirmedAt(): Milliseconds {
+        return this.confirmed;
+    }
+
     start(): void {
         void this.run();
     }
@@ -118,7 +129,8 @@
      * Sets whether this node reads the store, whether it does so only as a substitute for other readers, and whether it
      * staggers its watches. Until the collection has content, the node reads the store in any case.
      */
-    setReading(isReading: boolean, { isSubstitute = false, isStaggered = false } = {}): void {
+    setReading(mayRead: boolean, { isSubstitute = false, isStaggered = false } = {}): void {
+        const isReading = mayRead || this.options.confirmationMs !== undefined;
         this.isSubstitute = isSubstitute;
         this.isStaggered = isStaggered;
         if (this.isReading === isReading) {
@@ -203,6 +215,7 @@
     }
 
     private async read(): Promise<boolean> {
+        const startedAt = this.options.clock.now();
         const outcome = await this.options.collection.read();
         switch (outcome.kind) {
             case StoreOutcomeKind.Done:
@@ -212,6 +225,7 @@
                 if (this.table.replaceAll(outcome.objects.map(object => this.decodeObject(object)), outcome.revision)) {
                     this.publishContent();
                 }
+                this.confirmed = startedAt;
                 await sleep(this.options.batchDelayMs);
                 return true;
             case StoreOutcomeKind.Unavailable:
@@ -229,6 +243,7 @@
         this.watchController = controller;
         this.behindSince = undefined;
         const after = this.table.revision;
+        const startedAt = this.options.clock.now();
         // The first watch returns immediately and confirms that the store responds.
         const waitMs = this.hasStoreResponded ? this.chooseWaitMs() : firstWatchWaitMs;
         const outcome = await this.options.collection.watch({ after, waitMs, signal: controller.signal });
@@ -246,6 +261,10 @@
                 if (outcome.changes.length > 0) {
                     this.hasRestarted = true;
                     this.publishContent();
+                }
+                // The response may have been under way for most of this time, so only what preceded the request counts.
+                this.confirmed = startedAt;
+                if (outcome.changes.length > 0) {
                     await sleep(this.options.batchDelayMs);
                 }
                 return true;
@@ -268,7 +287,8 @@
     private chooseWaitMs(): Milliseconds {
         const isFirst = this.hasRestarted;
         this.hasRestarted = false;
-        return isFirst && this.isStaggered ? staggeredWatchWaitMs : watchWaitMs;
+        const waitMs = isFirst && this.isStaggered ? staggeredWatchWaitMs : watchWaitMs;
+        return Math.min(waitMs, this.options.confirmationMs ?? waitMs);
     }
 
     private decodeObject({ name, revision, value }: CollectionObject): CollectionObject {
--- a/daemons/sidecar/test/collectionTask.test.ts
+++ b/daemons/sidecar/test/collectionTask.test.ts
@@ -117,6 +117,20 @@
             expect(collection.waits.slice(previous, previous + waits.length)).toEqual(waits);
         });
 
+        // Guards against a response that was under way for long and counts as a fresh confirmation.
+        it("confirms its copy up to the beginning of the watch, not to its end", async () => {
+            await waitForCondition(() => collection.waits.length === 1);
+            expect(task.confirmedAt).toBe(0);
+            clock.advance(4_000);
+            collection.endWatch([]);
+            await waitForCondition(() => collection.waits.length === 2);
+            expect(task.confirmedAt).toBe(0);
+            clock.advance(1_000);
+            collection.endWatch([]);
+            await waitForCondition(() => collection.waits.length === 3);
+            expect(task.confirmedAt).toBe(4_000);
+        });
+
         it("is not current before the store has responded", async () => {
             await waitForCondition(() => collection.watchCount === 1);
             task.setReading(false);
--- a/state/routes/src/organisations.ts
+++ b/state/routes/src/organisations.ts
@@ -75,6 +75,8 @@
         readonly kind: AuthenticationKind.Accepted;
         /** `undefined` for a call that belongs to no organisation. */
         readonly organisation: string | undefined;
+        /** Whether the call carries a key; otherwise its route or its parent call admits it. */
+        readonly hasKey: boolean;
         /** Priority of the organisation whose key the call carries; `undefined` if the route's priority applies. */
         readonly priority: number | undefined;
     }
@@ -91,13 +93,23 @@
             const holder = index.find(credentials.key);
             return holder === undefined
                 ? { kind: AuthenticationKind.Refused, cause: "unknown key" }
-                : { kind: AuthenticationKind.Accepted, organisation: holder.name, priority: holder.priority };
+                : {
+                        kind: AuthenticationKind.Accepted,
+                        organisation: holder.name,
+                        hasKey: true,
+                        priority: holder.priority,
+                    };
         }
         case CredentialsKind.Malformed:
             return { kind: AuthenticationKind.Refused, cause: "malformed" };
         case CredentialsKind.Absent:
             return parent !== undefined || call.allowsAnonymous
-                ? { kind: AuthenticationKind.Accepted, organisation: parent?.organisation, priority: undefined }
+                ? {
+                        kind: AuthenticationKind.Accepted,
+                        organisation: parent?.organisation,
+                        hasKey: false,
+                        priority: undefined,
+                    }
                 : { kind: AuthenticationKind.Refused, cause: "no key" };
     }
 }
--- a/state/routes/test/organisations.test.ts
+++ b/state/routes/test/organisations.test.ts
@@ -65,9 +65,9 @@
 
 describe("authentication", () => {
     const index = new OrganisationIndex(createOrganisations(4, 1));
-    const accepted = (organisation: string | undefined, priority?: number): unknown =>
+    const accepted = (organisation: string | undefined, priority?: number): Record<string, unknown> =>
         ({ kind: AuthenticationKind.Accepted, organisation, priority });
-    const refused = (cause: string): unknown => ({ kind: AuthenticationKind.Refused, cause });
+    const refused = (cause: string): Record<string, unknown> => ({ kind: AuthenticationKind.Refused, cause });
     const absent: Credentials = { kind: CredentialsKind.Absent };
     const malformed: Credentials = { kind: CredentialsKind.Malformed };
     const parent = { organisation: "o-9" };
@@ -87,6 +87,8 @@
         { name: "an unknown key, inner call", credentials: createCredentials("none"), parent, expected: refused("unknown key") },
     ];
     it.each(cases)("of a call with $name", ({ credentials, allowsAnonymous = false, parent: outer, expected }) => {
-        expect(authenticate(index, { credentials, allowsAnonymous, parent: outer })).toEqual(expected);
+        const isAccepted = expected.kind === AuthenticationKind.Accepted;
+        const hasKey = isAccepted ? credentials.kind === CredentialsKind.Key : undefined;
+        expect(authenticate(index, { credentials, allowsAnonymous, parent: outer })).toEqual({ ...expected, hasKey });
     });
 });
