--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -25,7 +25,7 @@
 import type { MeshPlatform } from "./ports";
 import type { SidecarSettings } from "./settings";
 import { CallerTask } from "./tasks/callerTask";
-import { type CollectionContent, CollectionTask } from "./tasks/collectionTask";
+import { type CollectionContent, CollectionTask, type CollectionTaskOptions } from "./tasks/collectionTask";
 import { ConfigurationTask } from "./tasks/configurationTask";
 import { ProbeTask } from "./tasks/probeTask";
 import { RegistrationTask } from "./tasks/registrationTask";
@@ -56,6 +56,11 @@
 const orderBatchDelayMs: Milliseconds = 0;
 /** Long, because each watch costs and orders are rare. Two nodes watch, so that a silent connection hides no order. */
 const orderWatchWaitMs: Milliseconds = 20_000;
+/**
+ * Longest wait of a watch, as a share of the time within which a removed key must lose its effect. Two watches, a batch
+ * delay and the round trips fit into that time.
+ */
+const confirmationShare = 0.25;
 /** Callers stop using the node after two failed readiness checks one second apart; includes time for the second one. */
 const readinessPropagationMs: Milliseconds = 2_300;
 const stopPollIntervalMs: Milliseconds = 50;
@@ -118,10 +123,13 @@
         this.directory = directory;
         this.quarantine = new Quarantine({ node: settings.node, clock });
         this.retryBudgets = new RetryBudgets({ clock, bound: settings.retryBudget, countNodes: () => directory.size });
-        this.configurationCollection
-            = this.createCollectionTask("configuration", platform.configurations, configurationBatchDelayMs, value => value);
-        this.nodeCollection = this.createCollectionTask("nodes", platform.nodes, nodeBatchDelayMs, value =>
-            decodeNodeObject(value, settings.rollout !== undefined));
+        this.configurationCollection = this.createConfigurationCollection();
+        this.nodeCollection = this.createCollectionTask({
+            name: "nodes",
+            collection: platform.nodes,
+            batchDelayMs: nodeBatchDelayMs,
+            decode: value => decodeNodeObject(value, settings.rollout !== undefined),
+        });
         this.configurationTask = new ConfigurationTask({ platform, log });
         const localTarget = new LocalTarget({
             clock,
@@ -241,15 +249,10 @@
     }
 
     private createCollectionTask(
-        name: string,
-        collection: MeshPlatform["nodes"],
-        batchDelayMs: Milliseconds,
-        decode: (value: unknown) => unknown,
-        watchWaitMs?: Milliseconds,
+        options: Omit<CollectionTaskOptions, "clock" | "random" | "log" | "faults">,
     ): CollectionTask {
         const { clock, random, faults } = this;
-        const { log } = this.options;
-        return new CollectionTask({ name, collection, clock, random, log, faults, batchDelayMs, decode, watchWaitMs });
+        return new CollectionTask({ ...options, clock, random, faults, log: this.options.log });
     }
 
     private createRolloutTask(selection: SourceSelection): RolloutTask | undefined {
@@ -265,7 +268,13 @@
             node,
             bounds,
             platform: platform.rollouts,
-            orders: this.createCollectionTask("rollouts", collection, orderBatchDelayMs, decodeOrder, orderWatchWaitMs),
+            orders: this.createCollectionTask({
+                name: "rollouts",
+                collection,
+                batchDelayMs: orderBatchDelayMs,
+                decode: decodeOrder,
+                watchWaitMs: orderWatchWaitMs,
+            }),
             plans: platform.nodes,
             requestReport: (address, timeoutMs) => this.peerClient.requestReport(address, timeoutMs),
             // What other nodes hear from this one; otherwise two of them would act after an outage of the store.
@@ -283,6 +292,25 @@
             .reduce((longest, { timeoutMs }) => Math.max(longest, timeoutMs), 0);
     }
 
+    private createConfigurationCollection(): CollectionTask {
+        const { settings: { strictRevocation, revocationMs }, platform } = this.options;
+        const confirmationMs = strictRevocation ? revocationMs * confirmationShare : undefined;
+        const batchDelayMs = Math.min(configurationBatchDelayMs, confirmationMs ?? configurationBatchDelayMs);
+        return this.createCollectionTask({
+            name: "configuration",
+            collection: platform.configurations,
+            batchDelayMs,
+            decode: value => value,
+            confirmationMs,
+        });
+    }
+
+    /** A change that the store acknowledged after the last confirmation may be as old as that confirmation. */
+    private isRevocationDue(): boolean {
+        const { strictRevocation, revocationMs } = this.options.settings;
+        return strictRevocation && this.clock.now() - this.configurationCollection.confirmedAt >= revocationMs;
+    }
+
     private createTargetTask(target: LocalTarget): TargetTask {
         const { settings, platform, log } = this.options;
         const { clock, random, quarantine } = this;
@@ -320,6 +348,7 @@
             metrics,
             budgets: this.retryBudgets,
             findRunningCall: callId => this.targetTask.findRunningCall(callId),
+            isRevocationDue: () => this.isRevocationDue(),
             knowsNewerVersion: version => this.configurationTask.knowsNewerVersion(version),
             service: settings.service,
             getLocalVersions: () => this.getLocalVersions(),
--- a/daemons/sidecar/src/tasks/collectionTask.ts
+++ b/daemons/sidecar/src/tasks/collectionTask.ts
@@ -36,6 +36,11 @@
     readonly decode: (value: unknown) => unknown;
     /** Wait of an idle watch; `defaultWatchWaitMs` if not set. */
     readonly watchWaitMs?: Milliseconds;
+    /**
+     * Longest wait of a watch for a node that must itself confirm that its copy is current; such a node always reads
+     * the store. `undefined` if the changes that other nodes relay are sufficient.
+     */
+    readonly confirmationMs?: Milliseconds | undefined;
 }
 
 /** Content of a collection at a store revision. */
@@ -82,6 +87,7 @@
     private watchController: AbortController | undefined;
     private behindSince: Milliseconds | undefined;
     private isStopped = false;
+    private confirmed: Milliseconds = Number.NEGATIVE_INFINITY;
     private wake: () => void = () => undefined;
 
     constructor(private readonly options: CollectionTaskOptions) {}
@@ -106,6 +112,11 @@
         return this.table.revision;
     }
 
+    /** Time up to which all changes that the store had acknowledged are applied, as confirmed by the store itself. */
+    get confirmedAt(): Milliseconds {
+        return this.confirmed;
+    }
+
     start(): void {
         void this.run();
     }
@@ -120,7 +131,8 @@
      * Sets whether this node reads the store, whether it does so only as a substitute for other readers, and whether it
      * staggers its watches. Until the collection has content, the node reads the store in any case.
      */
-    setReading(isReading: boolean, { isSubstitute = false, isStaggered = false } = {}): void {
+    setReading(mayRead: boolean, { isSubstitute = false, isStaggered = false } = {}): void {
+        const isReading = mayRead || this.options.confirmationMs !== undefined;
         this.isSubstitute = isSubstitute;
         this.isStaggered = isStaggered;
         if (this.isReading === isReading) {
@@ -205,6 +217,7 @@
     }
 
     private async read(): Promise<boolean> {
+        const startedAt = this.options.clock.now();
         const outcome = await this.options.collection.read();
         switch (outcome.kind) {
             case StoreOutcomeKind.Done:
@@ -214,6 +227,7 @@
                 if (this.table.replaceAll(outcome.objects.map(object => this.decodeObject(object)), outcome.revision)) {
                     this.publishContent();
                 }
+                this.confirmed = startedAt;
                 await sleep(this.options.batchDelayMs);
                 return true;
             case StoreOutcomeKind.Unavailable:
@@ -231,6 +245,7 @@
         this.watchController = controller;
         this.behindSince = undefined;
         const after = this.table.revision;
+        const startedAt = this.options.clock.now();
         // The first watch returns immediately and confirms that the store responds.
         const waitMs = this.hasStoreResponded ? this.chooseWaitMs() : firstWatchWaitMs;
         const outcome = await this.options.collection.watch({ after, waitMs, signal: controller.signal });
@@ -248,6 +263,10 @@
                 if (outcome.changes.length > 0) {
                     this.hasRestarted = true;
                     this.publishContent();
+                }
+                // The response may have been under way for most of this time, so only what preceded the request counts.
+                this.confirmed = startedAt;
+                if (outcome.changes.length > 0) {
                     await sleep(this.options.batchDelayMs);
                 }
                 return true;
@@ -270,8 +289,9 @@
     private chooseWaitMs(): Milliseconds {
         const isFirst = this.hasRestarted;
         this.hasRestarted = false;
-        const { watchWaitMs = defaultWatchWaitMs } = this.options;
-        return isFirst && this.isStaggered ? staggeredWaitShare * watchWaitMs : watchWaitMs;
+        const { watchWaitMs = defaultWatchWaitMs, confirmationMs } = this.options;
+        const waitMs = isFirst && this.isStaggered ? staggeredWaitShare * watchWaitMs : watchWaitMs;
+        return Math.min(waitMs, confirmationMs ?? waitMs);
     }
 
     private decodeObject({ name, revision, value, status }: CollectionObject): CollectionObject {
