Count all memory held for clients, and evict what makes no progress

Cause: the budget of a process counted only complete bodies. Objects of small chunks, bodies that arrive, copies for frames, the target's side, connections, open requests and unread responses were not counted, and nothing was ever released for others. Responses queued behind others on a connection never reported that their client had left, so that their calls and memory stayed.

--- a/daemons/node/src/calls/callTask.ts
+++ b/daemons/node/src/calls/callTask.ts
@@ -5,6 +5,7 @@
 import { createHash, randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { type DispatchEvent, type Dispatcher, type TenantLimits } from "@bilberrycroft/coordination.admission";
+import type { BufferAccount, BufferBudget } from "@bilberrycroft/coordination.forwarding";
 import { type CallAtCrash, type Quarantine, QuarantineDecisionKind, type QuarantineReport } from "@bilberrycroft/coordination.quarantine";
 import type { Retries } from "@bilberrycroft/coordination.retries";
 import type { Router } from "@bilberrycroft/coordination.routing";
@@ -14,7 +15,7 @@
 import { CallCounter, type CallHistograms } from "@bilberrycroft/state.histograms";
 import { findRoute, type RouteRule, type RuleSet } from "@bilberrycroft/state.rules";
 import type { VerifiedSnapshot } from "@bilberrycroft/state.snapshots";
-import { BodyOutcomeKind, probeListener, readBody, type TargetClient } from "@bilberrycroft/transport.calls";
+import { BodyOutcomeKind, joinParts, probeListener, readBodyParts, type TargetClient } from "@bilberrycroft/transport.calls";
 import { interval, Subject, type Subscription } from "rxjs";
 import {
     type AcceptedCall,
@@ -34,6 +35,8 @@
 const tickMs: Milliseconds = 20;
 const reportIntervalMs: Milliseconds = 500;
 const crashProbeDelayMs: Milliseconds = 20;
+/** Evictions come in thousands a second; one line tells of them. */
+const evictionLogIntervalMs: Milliseconds = 1_000;
 const anonymousTenant = "anonymous";
 // The node times out this much earlier, so that its response reaches the caller before the caller's own timeout.
 const deadlineMarginMs: Milliseconds = 2;
@@ -48,6 +51,8 @@
     readonly targetClient: TargetClient;
     readonly histograms: CallHistograms;
     readonly maxRequestBytes: number;
+    /** Counts the memory that is held for callers. */
+    readonly bufferBudget: BufferBudget;
     readonly logger: Logger;
 }
 
@@ -73,6 +78,7 @@
     private readonly brokenTargets = new Map<string, BrokenTarget>();
     private readonly services: CallServices;
     private readonly reportSubscription: Subscription;
+    private nextEvictionLogAt: Milliseconds = 0;
     private tickTimer: NodeJS.Timeout | undefined;
 
     constructor(private readonly options: CallTaskOptions) {
@@ -138,17 +144,38 @@
         if (route.tenants.length > 0 && !route.tenants.includes(head.tenant ?? "")) {
             return this.refuse(response, CallReason.TenantNotAllowed);
         }
-        const body = await readBody(request, this.options.maxRequestBytes);
+        const { bufferBudget, maxRequestBytes } = this.options;
+        if (bufferBudget.isExhausted && mayHaveBody(request)) {
+            return this.refuseEvicted(response);
+        }
+        let account: BufferAccount | undefined;
+        const body = await readBodyParts(request, maxRequestBytes, holder => account = bufferBudget.open(holder));
+        if (body.kind === BodyOutcomeKind.Evicted) {
+            return this.refuseEvicted(response);
+        }
         if (body.kind !== BodyOutcomeKind.Complete) {
             response.setHeader("connection", "close");
             const status = body.kind === BodyOutcomeKind.TooLarge ? bodyTooLargeStatus : undefined;
             return this.refuse(response, CallReason.BadRequest, undefined, status);
         }
-        const call = this.accept({ head, request, body: body.body, route, startedAt, configuration });
-        const result = await this.run(call, response);
+        account?.keep();
+        const call = this.accept({ head, request, body: joinParts(body.parts), route, startedAt, configuration });
+        const result = await this.run(call, response).finally(() => account?.set(0));
         this.recordResult(call, result, startedAt);
     }
 
+    /** Refuses a request whose memory is needed for others; the rest of its body cannot be told from a next request. */
+    private refuseEvicted(response: ServerResponse): void {
+        response.setHeader("connection", "close");
+        const now = this.options.clock.now();
+        if (now >= this.nextEvictionLogAt) {
+            this.nextEvictionLogAt = now + evictionLogIntervalMs;
+            const { evictions, used } = this.options.bufferBudget;
+            this.options.logger.warn("Requests gave up their memory.", { evictions, buffered: used });
+        }
+        this.refuse(response, CallReason.Overloaded, notServingRetryAfterMs);
+    }
+
     private accept(options: {
         readonly head: CallHead;
         readonly request: IncomingMessage;
@@ -327,6 +354,10 @@
     [AdditionalAttempt.Hedge]: CallCounter.Hedges,
 };
 
+function mayHaveBody({ headers }: IncomingMessage): boolean {
+    return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+}
+
 const anonymousLimits: TenantLimits = { name: anonymousTenant, weight: 1, ratePerSecond: undefined };
 
 /** Callers without a tenant, or with one that the rules do not define, share one anonymous tenant. */
--- a/daemons/node/src/metrics.ts
+++ b/daemons/node/src/metrics.ts
@@ -2,6 +2,7 @@
  * Metrics of a node in the Prometheus text format.
  */
 import type { CallHistograms, LatencySummary } from "@bilberrycroft/state.histograms";
+import { ClientLimit } from "@bilberrycroft/transport.calls";
 import { Gauge, Registry } from "prom-client";
 
 const prefix = "bilberrycroft_";
@@ -17,6 +18,10 @@
     controlCallsSent(): number;
     controlCallsReceived(): number;
     nodeCount(): number;
+    clientsConnected(): number;
+    bufferedBytes(): number;
+    clientsEvicted(): number;
+    clientLimits(limit: ClientLimit): number;
 }
 
 export interface NodeMetrics {
@@ -33,6 +38,15 @@
     addGauge(registry, "control_received_bytes", "Bytes of control messages received.", () => source.controlBytesReceived());
     addGauge(registry, "control_calls_sent", "Control calls to other nodes that were answered.", () => source.controlCallsSent());
     addGauge(registry, "control_calls_received", "Control calls of other nodes and operators.", () => source.controlCallsReceived());
+    addGauge(registry, "clients_connected", "Open connections of callers.", () => source.clientsConnected());
+    addGauge(registry, "buffered_bytes", "Bytes held for callers.", () => source.bufferedBytes());
+    addGauge(registry, "clients_evicted", "Requests and responses that gave up their memory.", () => source.clientsEvicted());
+    addGauge(registry, "client_connections_evicted", "Connections closed in favour of others.", () =>
+        source.clientLimits(ClientLimit.ConnectionEvicted));
+    addGauge(registry, "client_connections_refused", "Connections closed at once.", () =>
+        source.clientLimits(ClientLimit.ConnectionRefused));
+    addGauge(registry, "client_pipelines_refused", "Connections closed because of too many requests at once.", () =>
+        source.clientLimits(ClientLimit.PipelineRefused));
     const calls = addCallGauges(registry);
     return {
         render: () => {
--- a/daemons/node/src/node.ts
+++ b/daemons/node/src/node.ts
@@ -6,6 +6,7 @@
 import { Dispatcher } from "@bilberrycroft/coordination.admission";
 import { Dissemination } from "@bilberrycroft/coordination.dissemination";
 import { Draining } from "@bilberrycroft/coordination.draining";
+import { BufferBudget } from "@bilberrycroft/coordination.forwarding";
 import { ClaimCoordinator } from "@bilberrycroft/coordination.idempotency";
 import { Lease } from "@bilberrycroft/coordination.lease";
 import { type KnownMember, Membership, MembershipInputKind } from "@bilberrycroft/coordination.membership";
@@ -19,7 +20,14 @@
 import { type Store, StoreOutcomeKind, zoneKey } from "@bilberrycroft/protocol.store";
 import { CallHistograms } from "@bilberrycroft/state.histograms";
 import { applyDelta, encodeDelta, verifySnapshot } from "@bilberrycroft/state.snapshots";
-import { type Listener, startListener, TargetClient } from "@bilberrycroft/transport.calls";
+import {
+    type ClientLimit,
+    limitConnections,
+    type Listener,
+    readDescriptorLimit,
+    startListener,
+    TargetClient,
+} from "@bilberrycroft/transport.calls";
 import { ControlClient, ControlOutcomeKind, startControlListener } from "@bilberrycroft/transport.control";
 import { HttpStore } from "@bilberrycroft/transport.store";
 import { CallTask } from "./calls/callTask";
@@ -39,6 +47,9 @@
 const callRequestTimeoutMs: Milliseconds = 60_000;
 const propagationDelayMs: Milliseconds = 500;
 const claimRecordTimeoutMs: Milliseconds = 5_000;
+/** Share of the memory held for clients; the program itself takes about 90 MB, and garbage as much again. */
+const clientMemoryShare = 0.25;
+const bytesPerMegabyte = 1_048_576;
 const claimRecordPollMs: Milliseconds = 20;
 
 export interface NodeOptions {
@@ -83,6 +94,9 @@
     private readonly control: ControlClient;
     private readonly router: Router;
     private readonly dispatcher: Dispatcher;
+    private readonly budgetBytes: number;
+    private readonly bufferBudget: BufferBudget;
+    private readonly limitCounts = new Map<ClientLimit, number>();
     private readonly quarantine: Quarantine;
     private readonly claims: Claims;
     private readonly callTask: CallTask;
@@ -114,6 +128,8 @@
         const { random } = this;
         this.logger = createLogger("node", settings.logLevel);
         this.store = options.store ?? new HttpStore({ address: settings.store });
+        this.budgetBytes = clientMemoryShare * settings.memoryMb * bytesPerMegabyte;
+        this.bufferBudget = new BufferBudget(this.budgetBytes, clock);
         this.control = new ControlClient({ countBytes: (sent, received) => this.countControlCallSent(sent, received) });
         this.router = new Router({ clock, random, zone: settings.zone });
         this.dispatcher = new Dispatcher({ clock, random, router: this.router });
@@ -145,10 +161,24 @@
 
     async start(): Promise<void> {
         const { settings } = this.options;
+        const { connectionsPerAddress, pipelinedRequests, reservedDescriptors } = settings.clients;
         this.callListener = await startListener({
             ...settings.calls,
             maxConnections: settings.maxConnections.calls,
             requestTimeoutMs: callRequestTimeoutMs,
+            clients: {
+                ...limitConnections(
+                    {
+                        connections: settings.maxConnections.calls,
+                        connectionsPerAddress,
+                        pipelinedRequests,
+                        reservedDescriptors: reservedDescriptors + settings.maxConnections.control,
+                    },
+                    { budgetBytes: this.budgetBytes, descriptors: readDescriptorLimit() },
+                ),
+                accounts: this.bufferBudget,
+                onLimit: limit => this.limitCounts.set(limit, this.countLimit(limit) + 1),
+            },
             handle: (request, response) => this.callTask.handle(request, response),
         });
         this.controlListener = await startControlListener({
@@ -296,6 +326,7 @@
             targetClient: this.targetClient,
             histograms: this.histograms,
             maxRequestBytes: this.options.settings.maxRequestBytes,
+            bufferBudget: this.bufferBudget,
             logger: this.createComponentLogger("calls"),
         });
     }
@@ -382,10 +413,18 @@
             controlBytesReceived: () => this.controlBytesReceived,
             controlCallsSent: () => this.controlCallsSent,
             controlCallsReceived: () => this.controlCallsReceived,
+            clientsConnected: () => this.callListener.clientConnections,
+            bufferedBytes: () => this.bufferBudget.used,
+            clientsEvicted: () => this.bufferBudget.evictions,
+            clientLimits: limit => this.countLimit(limit),
             nodeCount: () => this.membershipTask.membership.entries().length,
         });
     }
 
+    private countLimit(limit: ClientLimit): number {
+        return this.limitCounts.get(limit) ?? 0;
+    }
+
     private countControlCallSent(sent: number, received: number): void {
         this.controlCallsSent++;
         this.controlBytesSent += sent;
--- a/daemons/node/src/settings.ts
+++ b/daemons/node/src/settings.ts
@@ -28,6 +28,12 @@
         control: z.number().int().min(1).max(10_000).default(128),
         calls: z.number().int().min(1).max(100_000).default(2_000),
     }).prefault({}),
+    clients: z.strictObject({
+        connectionsPerAddress: z.number().int().min(1).optional(),
+        pipelinedRequests: z.number().int().min(1).default(64),
+        reservedDescriptors: z.number().int().min(1).default(256),
+    }).prefault({}),
+    memoryMb: z.number().int().min(64).default(256),
     maxRequestBytes: z.number().int().min(1).max(16_000_000).default(1_000_000),
     logLevel: z.enum(LogLevel).default(LogLevel.Info),
 });
--- a/daemons/sidecar/src/calls/callerCall.ts
+++ b/daemons/sidecar/src/calls/callerCall.ts
@@ -100,7 +100,7 @@
                     this.sendOffer(action);
                     break;
                 case PlanActionKind.Proceed:
-                    this.attempts.get(action.attempt)?.handle.sendBody(this.call.body);
+                    this.attempts.get(action.attempt)?.handle.sendBody(this.call.bodyParts);
                     break;
                 case PlanActionKind.Withdraw:
                     this.withdraw(action.attempt);
@@ -140,7 +140,7 @@
                     objectiveMs: Math.floor(call.objectiveAt - now),
                     spareOnly,
                     isRepeat,
-                    bodyBytes: call.hasBody ? call.body.length : undefined,
+                    bodyBytes: call.hasBody ? call.bodyBytes : undefined,
                     targetCallsPerSecond: services.directory.callsPerSecondOf(candidate.node),
                 },
                 method: call.request.method ?? "GET",
--- a/daemons/sidecar/src/calls/callerCallTypes.ts
+++ b/daemons/sidecar/src/calls/callerCallTypes.ts
@@ -32,7 +32,9 @@
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
     readonly headers: ForwardedHeaders;
-    readonly body: Buffer;
+    /** The body in parts, so that a large one is never held twice. */
+    readonly bodyParts: readonly Buffer[];
+    readonly bodyBytes: number;
     readonly hasBody: boolean;
     /** The call running in the local target that made this inner call; `undefined` for other calls. */
     readonly parent: Offer | undefined;
--- a/daemons/sidecar/src/calls/incomingResponse.ts
+++ b/daemons/sidecar/src/calls/incomingResponse.ts
@@ -6,6 +6,7 @@
  */
 import type { ServerResponse } from "node:http";
 import type { BufferAccount, BufferBudget } from "@bilberrycroft/coordination.forwarding";
+import type { Milliseconds } from "@bilberrycroft/core.clock";
 import type { ResponseHead, ForwardedHeaders } from "@bilberrycroft/protocol.forwarding";
 
 /** Limits of one response, with and without room in the budget of the process. */
@@ -19,6 +20,9 @@
 const usualLimits: BufferLimits = { maxBufferedBytes: 1_048_576, maxUnsentBytes: 16_777_216 };
 const limitsWithoutRoom: BufferLimits = { maxBufferedBytes: 65_536, maxUnsentBytes: 524_288 };
 
+/** A caller that reads takes a response of the largest buffered size within this time over a slow link. */
+const minUnreadMs: Milliseconds = 2_000;
+
 const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
 
 export class IncomingResponse {
@@ -26,9 +30,10 @@
     private receivedBytes = 0;
     private isDiscarded = false;
     private callerResponse: ServerResponse | undefined;
-    private readonly account: BufferAccount;
+    private account: BufferAccount;
 
     constructor(readonly head: ResponseHead, private readonly budget: BufferBudget) {
+        // Cannot be evicted while nothing is sent to the caller.
         this.account = budget.open();
     }
 
@@ -66,13 +71,13 @@
     }
 
     private get limits(): BufferLimits {
-        return this.budget.isExhausted ? limitsWithoutRoom : usualLimits;
+        return this.budget.isScarce ? limitsWithoutRoom : usualLimits;
     }
 
     /** Sends the buffered chunks and streams all later ones. */
     startStreaming(response: ServerResponse): void {
         this.callerResponse = response;
-        this.releaseWhenClosed(response);
+        this.countUntilTaken(response);
         response.writeHead(this.head.status, this.head.headers);
         this.chunks.forEach(chunk => response.write(chunk));
         this.chunks.length = 0;
@@ -89,13 +94,31 @@
             headers["content-length"] = String(this.receivedBytes);
         }
         response.writeHead(this.head.status, headers);
-        this.releaseWhenClosed(response);
-        response.end(Buffer.concat(this.chunks));
+        this.countUntilTaken(response);
+        // Joining the chunks would hold the response twice.
+        response.cork();
+        this.chunks.forEach(chunk => response.write(chunk));
+        response.end();
         this.chunks.length = 0;
     }
 
-    /** The bytes count until the caller has taken them. */
-    private releaseWhenClosed(response: ServerResponse): void {
+    /**
+     * The bytes count until the caller has taken them. If their memory is needed and the caller does not read, its
+     * connection is closed, which tells it that the response is cut.
+     */
+    private countUntilTaken(response: ServerResponse): void {
+        this.account.set(0);
+        this.account = this.budget.open({
+            minLagMs: minUnreadMs,
+            countTaken: () => countTaken(response),
+            evict: () => response.destroy(),
+        });
+        this.account.set(this.receivedBytes);
         response.once("close", () => this.account.set(0));
     }
 }
+
+/** Bytes that have left the process on the connection of the response. */
+function countTaken({ socket }: ServerResponse): number {
+    return (socket?.bytesWritten ?? 0) - (socket?.writableLength ?? 0);
+}
--- a/daemons/sidecar/src/calls/targetCall.ts
+++ b/daemons/sidecar/src/calls/targetCall.ts
@@ -13,6 +13,7 @@
     AttemptEventKind,
     DiscardCut,
     discardResponseBody,
+    recordReadChunk,
     type TargetClient,
 } from "@bilberrycroft/transport.calls";
 import { copyHeaders, type IncomingOffer } from "@bilberrycroft/transport.forwarding";
@@ -208,6 +209,8 @@
         const isComplete = await new Promise<boolean>(resolve => {
             response.on("data", (data: Buffer) => {
                 this.forwardedBytes += data.length;
+                // The data and the frame that it is copied into.
+                recordReadChunk(2 * data.length);
                 if (!incoming.write(data)) {
                     response.pause();
                     void incoming.waitForDrain().then(() => response.resume());
--- a/daemons/sidecar/src/settings.ts
+++ b/daemons/sidecar/src/settings.ts
@@ -1,5 +1,6 @@
 import type { SharedRetryBudget } from "@bilberrycroft/coordination.forwarding";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
+import type { ClientSettings } from "@bilberrycroft/transport.calls";
 
 /** Settings of a sidecar, read by an adapter from its platform. */
 export interface SidecarSettings {
@@ -23,4 +24,5 @@
     /** Time from SIGTERM to SIGKILL. */
     readonly graceMs: Milliseconds;
     readonly retryBudget: SharedRetryBudget;
+    readonly clients: ClientSettings;
 }
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -12,7 +12,15 @@
 import { type EventLog, FaultBarrier } from "@bilberrycroft/core.eventLog";
 import { createSeededRandom, type Random } from "@bilberrycroft/core.random";
 import { type AnnouncedCrash, parseNodeEntry, type StateVersions } from "@bilberrycroft/protocol.forwarding";
-import { type Listener, splitAddress, startListener, TargetClient } from "@bilberrycroft/transport.calls";
+import {
+    ClientLimit,
+    limitConnections,
+    type Listener,
+    readDescriptorLimit,
+    splitAddress,
+    startListener,
+    TargetClient,
+} from "@bilberrycroft/transport.calls";
 import {
     type FrameFaultHandler,
     type OfferListener,
@@ -41,8 +49,13 @@
 }
 
 const maxSeed = 0x7fffffff;
-/** Shares of the memory of the process for the bodies of calls of callers, and for responses of the target. */
-const bufferedMemoryShare = 0.125;
+/**
+ * Shares of the memory of the process for what it holds for clients, and for responses of the target that wait for the
+ * link. The first one holds a body of 64 MiB, the largest of the platform, in the 200 MB of the smallest machine; the
+ * program itself takes about 65 MB, and garbage that has not been collected up to 40 MB.
+ */
+const clientMemoryShare = 0.35;
+const pacedMemoryShare = 0.125;
 const defaultMemoryBytes = 268_435_456;
 const maxConnections = 3_000;
 const maxHeaderBytes = 65_536;
@@ -67,6 +80,8 @@
     private readonly handleFrameFault: FrameFaultHandler;
     private readonly peerClient: PeerClient;
     private readonly bufferBudget: BufferBudget;
+    private readonly budgetBytes: number;
+    private readonly limitCounts = new Map<ClientLimit, number>();
     private readonly pacer: ResponsePacer;
     private readonly targetClient = new TargetClient(this.clock);
     private readonly directory: TargetDirectory;
@@ -92,12 +107,13 @@
         this.faults = new FaultBarrier(log);
         this.handleFrameFault = ({ kind, offerId }, error) => this.faults.record("frame", { kind, offerId }, error);
         this.peerClient = new PeerClient(this.handleFrameFault);
-        const bufferBytes = bufferedMemoryShare * (settings.memoryBytes ?? defaultMemoryBytes);
-        this.bufferBudget = new BufferBudget(bufferBytes);
+        const memoryBytes = settings.memoryBytes ?? defaultMemoryBytes;
+        this.budgetBytes = clientMemoryShare * memoryBytes;
+        this.bufferBudget = new BufferBudget(this.budgetBytes, clock);
         this.pacer = new ResponsePacer({
             clock,
             linkBytesPerSecond: settings.linkBytesPerSecond,
-            maxQueuedBytes: bufferBytes,
+            maxQueuedBytes: pacedMemoryShare * memoryBytes,
         });
         const directory = new TargetDirectory({
             clock,
@@ -159,12 +175,21 @@
             maxConnections,
             maxHeaderBytes,
             requestTimeoutMs,
+            clients: {
+                ...limitConnections(settings.clients, {
+                    budgetBytes: this.budgetBytes,
+                    descriptors: readDescriptorLimit(),
+                }),
+                accounts: this.bufferBudget,
+                onLimit: (limit, address) => this.recordClientLimit(limit, address),
+            },
             handle: (request, response) => this.callerTask.handle(request, response),
         });
         this.offerListener = await startOfferListener({
             ...splitAddress(settings.offerAddress),
             maxConnections,
             pacer: this.pacer,
+            openAccount: () => this.bufferBudget.open(),
             handleOffer: offer => this.targetTask.handleOffer(offer),
             handleFault: this.handleFrameFault,
             createReport: () => this.targetTask.createReport(""),
@@ -204,6 +229,11 @@
             { name: "target_calls_sent", help: "Calls sent to the target since the start.", read: () => this.targetTask.sentCalls },
             { name: "target_request_limit", help: "Calls per second that the target accepts; 0 without a limit.", read: () => this.targetTask.requestLimit },
             { name: "buffered_bytes", help: "Bytes of requests and responses held for callers.", read: () => this.bufferBudget.used },
+            { name: "clients_connected", help: "Open connections of callers.", read: () => this.callerListener?.clientConnections ?? 0 },
+            { name: "clients_evicted", help: "Requests and responses that gave up their memory.", read: () => this.bufferBudget.evictions },
+            { name: "client_connections_evicted", help: "Connections closed in favour of others.", read: () => this.countLimit(ClientLimit.ConnectionEvicted) },
+            { name: "client_connections_refused", help: "Connections closed at once.", read: () => this.countLimit(ClientLimit.ConnectionRefused) },
+            { name: "client_pipelines_refused", help: "Connections closed because of too many requests at once.", read: () => this.countLimit(ClientLimit.PipelineRefused) },
             { name: "faults_confined", help: "Exceptions confined to what caused them.", read: () => this.faults.count },
             { name: "log_lines_dropped", help: "Log lines dropped.", read: () => this.options.log.dropped },
         ]);
@@ -220,6 +250,20 @@
         return this.close();
     }
 
+    private recordClientLimit(limit: ClientLimit, address: string): void {
+        this.limitCounts.set(limit, this.countLimit(limit) + 1);
+        this.options.log.sample("client-limited", {
+            limit,
+            address,
+            connections: this.callerListener?.clientConnections,
+            buffered: this.bufferBudget.used,
+        });
+    }
+
+    private countLimit(limit: ClientLimit): number {
+        return this.limitCounts.get(limit) ?? 0;
+    }
+
     private createCollectionTask(
         name: string,
         collection: MeshPlatform["nodes"],
@@ -244,6 +288,7 @@
             codec: platform.headers,
             log,
             faults: this.faults,
+            bufferBudget: this.bufferBudget,
             targetAddress: settings.targetAddress,
             getLocalVersions: () => this.getLocalVersions(),
             handlePeerVersions: versions => this.handlePeerVersions(versions),
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -4,6 +4,7 @@
 import { createHash } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import {
+    type BufferAccount,
     CallerAges,
     ResponseSizes,
     CallPlan,
@@ -18,7 +19,7 @@
 import { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
 import type { Offer } from "@bilberrycroft/protocol.forwarding";
 import type { Route, RouteTable } from "@bilberrycroft/state.routes";
-import { BodyOutcomeKind, discardRequestBody, readBody } from "@bilberrycroft/transport.calls";
+import { BodyOutcomeKind, discardRequestBody, readBodyParts } from "@bilberrycroft/transport.calls";
 import { copyHeaders } from "@bilberrycroft/transport.forwarding";
 import { CallerCall } from "../calls/callerCall";
 import type { AcceptedCall, CallEnd, CallerServices } from "../calls/callerCallTypes";
@@ -126,15 +127,27 @@
         if (options.bufferBudget.isExhausted && mayHaveBody(request)) {
             return refuse(CallReason.Overloaded);
         }
-        const body = await readBody(request, table.configuration.callerLimits.maxBodyBytes);
+        const { maxBodyBytes } = table.configuration.callerLimits;
+        const requests = options.bufferBudget;
+        let account: BufferAccount | undefined;
+        const body = await readBodyParts(request, maxBodyBytes, holder => account = requests.open(holder));
         switch (body.kind) {
             case BodyOutcomeKind.TooLarge:
                 return refuse(CallReason.BadRequest, bodyTooLargeStatus);
             case BodyOutcomeKind.Truncated:
                 response.destroy();
                 return;
-            case BodyOutcomeKind.Complete:
-                return this.forward({ request, response, head, route, table, body: body.body, startedAt });
+            case BodyOutcomeKind.Evicted:
+                options.log.sample("request-evicted", { call: head.callId, route: route.name, buffered: requests.used });
+                // What follows a body that is not read to its end cannot be told from the body.
+                response.setHeader("connection", "close");
+                return refuse(CallReason.Overloaded);
+            case BodyOutcomeKind.Complete: {
+                account?.keep();
+                const { parts: bodyParts, bytes: bodyBytes } = body;
+                const received = { request, response, head, route, table, bodyParts, bodyBytes, startedAt };
+                await this.forward(received).finally(() => account?.set(0));
+            }
         }
     }
 
@@ -172,23 +185,23 @@
         const isFromRepeat = call.parent?.isRepeat === true;
         const planned = { route, service, priority, isInner, isFromRepeat, deadlineAt: call.deadlineAt };
         const plan = new CallPlan(services, planned, this.responseSizes.meanBytes(route.name));
-        const bodyAccount = options.bufferBudget.open();
-        bodyAccount.set(call.body.length);
         const end = await new CallerCall(call, plan, options).run();
-        bodyAccount.set(0);
         this.recordEnd(call, service, end);
     }
 
-    private createCall({ request, response, head, route, table, body, startedAt }: ReceivedCall): AcceptedCall {
+    private createCall(received: ReceivedCall): AcceptedCall {
+        const { request, response, head, route, table, bodyParts, bodyBytes, startedAt } = received;
         const { options } = this;
+        const digest = createHash("sha256");
+        bodyParts.forEach(part => digest.update(part));
         const waitMs = Math.min(head.waitMs ?? maxWaitMs, maxWaitMs);
-        const hasBody = body.length > 0 || mayHaveBody(request);
+        const hasBody = bodyBytes > 0 || mayHaveBody(request);
         const fingerprint = options.quarantine.computeFingerprint({
             method: request.method ?? "GET",
             path: request.url ?? "/",
             // Empty, because the same caller may call through any host, regardless of the target on that host.
             tenant: "",
-            bodyDigest: createHash("sha256").update(body).digest("base64url"),
+            bodyDigest: digest.digest("base64url"),
         });
         const parent = head.parentCallId === undefined ? undefined : options.findRunningCall(head.parentCallId);
         // An inner call has what is left of its parent's time, which says nothing about its own age.
@@ -199,7 +212,8 @@
             request,
             response,
             headers: copyHeaders(request.headers, name => name === "content-length" || name === "expect"),
-            body,
+            bodyParts,
+            bodyBytes,
             hasBody,
             parent,
             callId: head.callId,
@@ -262,7 +276,8 @@
     readonly head: CallerHead;
     readonly route: Route;
     readonly table: RouteTable;
-    readonly body: Buffer;
+    readonly bodyParts: readonly Buffer[];
+    readonly bodyBytes: number;
     readonly startedAt: Milliseconds;
 }
 
--- a/daemons/sidecar/src/tasks/targetTask.ts
+++ b/daemons/sidecar/src/tasks/targetTask.ts
@@ -2,6 +2,7 @@
  * Queues the calls that nodes offer to the local target, runs the granted ones, and tracks the target's availability.
  */
 import {
+    type BufferBudget,
     ResponseSizes,
     type OfferDecision,
     OfferDecisionKind,
@@ -39,6 +40,8 @@
     readonly targetAddress: string;
     /** Paces large responses to the bandwidth of the link. */
     readonly pacer: ResponsePacer;
+    /** Counts the bodies of the target's calls. */
+    readonly bufferBudget: BufferBudget;
     getLocalVersions(): StateVersions;
     handlePeerVersions(versions: StateVersions): void;
     /** Called when the target says in a response that it leaves. */
@@ -287,7 +290,9 @@
             onBody: () => undefined,
             onWithdrawn: () => call.handleWithdrawal(),
         });
-        const result = await call.run();
+        const account = this.options.bufferBudget.open();
+        account.set(body.length);
+        const result = await call.run().finally(() => account.set(0));
         this.running.delete(offer.callId);
         this.responsesInFlight++;
         void call.whenFlushed().then(() => {
--- a/protocol/forwarding/src/frames.ts
+++ b/protocol/forwarding/src/frames.ts
@@ -62,24 +62,48 @@
     return frame;
 }
 
+/** Encodes the start of a frame whose payload follows in parts of the given total size. */
+export function encodeFrameStart(kind: FrameKind, offerId: number, payloadBytes: number): Buffer {
+    const start = Buffer.allocUnsafe(headerBytes);
+    start.writeUInt32BE(headerBytes - lengthFieldBytes + payloadBytes, 0);
+    start.writeUInt8(kind, lengthFieldBytes);
+    start.writeUInt32BE(offerId, lengthFieldBytes + 1);
+    return start;
+}
+
 /** Encodes a frame with a JSON payload. */
 export function encodeMessage(kind: FrameKind, offerId: number, message: unknown): Buffer {
     return encodeFrame(kind, offerId, Buffer.from(JSON.stringify(message), "utf8"));
 }
 
+/** An incomplete frame from this size on is copied into one buffer as it arrives, so that it is never held twice. */
+const minLargeFrameBytes = 65_536;
+
 /** Splits a byte stream into frames. */
 export class FrameReader {
     private chunks: Buffer[] = [];
     private size = 0;
+    /** An incomplete large frame and the number of its bytes that have arrived. */
+    private large: { readonly frame: Buffer; filled: number } | undefined;
+
+    /** Bytes held for frames that are not complete. */
+    get heldBytes(): number {
+        return this.size + (this.large?.frame.length ?? 0);
+    }
 
     /** Adds received bytes and returns the frames completed by them; `undefined` if the stream is malformed. */
-    push(chunk: Buffer): Frame[] | undefined {
+    push(received: Buffer): Frame[] | undefined {
+        const frames: Frame[] = [];
+        const chunk = this.fillLargeFrame(received, frames);
+        if (chunk.length === 0) {
+            return frames;
+        }
         this.chunks.push(chunk);
         this.size += chunk.length;
-        const frames: Frame[] = [];
         let length = this.peekFrameLength();
         while (length !== undefined && length >= headerBytes && length <= maxFrameBytes) {
             if (this.size < length) {
+                this.startLargeFrame(length);
                 return frames;
             }
             frames.push(this.readFrame(length));
@@ -88,6 +112,34 @@
         return length === undefined ? frames : undefined;
     }
 
+    private startLargeFrame(length: number): void {
+        if (length >= minLargeFrameBytes) {
+            const frame = Buffer.allocUnsafeSlow(length);
+            let filled = 0;
+            for (const chunk of this.chunks) {
+                filled += chunk.copy(frame, filled);
+            }
+            this.large = { frame, filled };
+            this.chunks = [];
+            this.size = 0;
+        }
+    }
+
+    /** Copies received bytes into the incomplete large frame, if there is one; returns the bytes after it. */
+    private fillLargeFrame(received: Buffer, frames: Frame[]): Buffer {
+        const { large } = this;
+        if (large === undefined) {
+            return received;
+        }
+        const copied = received.copy(large.frame, large.filled);
+        large.filled += copied;
+        if (large.filled === large.frame.length) {
+            this.large = undefined;
+            frames.push(decodeFrame(large.frame, large.frame.length));
+        }
+        return received.subarray(copied);
+    }
+
     /** Length of the next frame including its length field; `undefined` until the length field has arrived. */
     private peekFrameLength(): number | undefined {
         if (this.size < lengthFieldBytes) {
@@ -112,14 +164,18 @@
         else {
             this.chunks.shift();
         }
-        return {
-            kind: first.readUInt8(lengthFieldBytes),
-            offerId: first.readUInt32BE(lengthFieldBytes + 1),
-            payload: first.subarray(headerBytes, length),
-        };
+        return decodeFrame(first, length);
     }
 
     private mergeChunks(): void {
         this.chunks = [Buffer.concat(this.chunks)];
     }
 }
+
+function decodeFrame(buffer: Buffer, length: number): Frame {
+    return {
+        kind: buffer.readUInt8(lengthFieldBytes),
+        offerId: buffer.readUInt32BE(lengthFieldBytes + 1),
+        payload: buffer.subarray(headerBytes, length),
+    };
+}
--- a/transport/calls/src/discarding.ts
+++ b/transport/calls/src/discarding.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage } from "node:http";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
+import { recordReadChunk } from "./readGarbage";
 
 export const maxDiscardedBytes = 262_144;
 export const maxDiscardMs: Milliseconds = 1_000;
@@ -51,6 +52,7 @@
     }, maxDiscardMs);
     message.on("data", (chunk: Buffer) => {
         discardedBytes += chunk.length;
+        recordReadChunk(chunk.length);
         if (discardedBytes > maxDiscardedBytes) {
             cut = DiscardCut.Limit;
             handleExcess();
--- a/transport/calls/src/listener.ts
+++ b/transport/calls/src/listener.ts
@@ -6,11 +6,13 @@
 import type { Duplex } from "node:stream";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import { describeInvalidHeader } from "@bilberrycroft/protocol.calls";
+import { ClientConnections, type ClientLimits } from "./clientConnections";
 
 const headersTimeoutMs: Milliseconds = 10_000;
 const defaultIdleTimeoutMs: Milliseconds = 30_000;
 const defaultMaxHeaderBytes = 16_384;
 const badRequestStatus = 400;
+const unavailableStatus = 503;
 
 export interface ListenerOptions {
     /** IP address to bind to. */
@@ -22,12 +24,16 @@
     readonly requestTimeoutMs: Milliseconds;
     /** Limit on the size of the request headers; 16 KiB by default. */
     readonly maxHeaderBytes?: number;
+    /** Limits for clients outside our control, in place of `maxConnections`. */
+    readonly clients?: ClientLimits;
     handle(request: IncomingMessage, response: ServerResponse): void;
 }
 
 export interface Listener {
     /** `host:port` to which the listener is bound. */
     readonly address: string;
+    /** Number of open connections; 0 without `clients`. */
+    readonly clientConnections: number;
     /** Sets the time after which idle connections are closed. */
     setIdleTimeout(idleTimeoutMs: Milliseconds): void;
     /** Continues to accept connections, but closes each after its next response, so that callers use other nodes. */
@@ -42,6 +48,8 @@
 export function startListener(options: ListenerOptions): Promise<Listener> {
     let isStopping = false;
     const openResponses = new OpenResponses();
+    const connections = options.clients && new ClientConnections(options.clients);
+    const closingConnections = new ClosingConnections();
     const server = createServer({
         maxHeaderSize: options.maxHeaderBytes ?? defaultMaxHeaderBytes,
         headersTimeout: Math.min(headersTimeoutMs, options.requestTimeoutMs),
@@ -49,19 +57,28 @@
         keepAliveTimeout: defaultIdleTimeoutMs,
         noDelay: true,
     }, (request, response) => {
+        const { socket } = request;
+        if (closingConnections.dropRequest(socket)) {
+            return;
+        }
+        if (connections?.admitRequest(socket, response) === false) {
+            closingConnections.add(socket);
+            refusePipelinedRequest(socket, response);
+            return;
+        }
         if (isStopping) {
             response.setHeader("connection", "close");
         }
         response.on("error", () => undefined);
         openResponses.add(request.socket, response);
         if (describeInvalidHeader(request.headers) !== undefined) {
-            response.writeHead(badRequestStatus, { connection: "close", "x-mesh-outcome": "not-run" });
-            response.end();
+            response.writeHead(badRequestStatus, { connection: "close", "x-mesh-outcome": "not-run" }).end();
             return;
         }
         options.handle(request, response);
     });
-    server.maxConnections = options.maxConnections;
+    server.maxConnections = connections === undefined ? options.maxConnections : Number.POSITIVE_INFINITY;
+    server.prependListener("connection", socket => connections?.add(socket));
     server.on("clientError", (_error, socket) => {
         if (!openResponses.canSendError(socket)) {
             socket.destroy();
@@ -74,6 +91,9 @@
         server.listen(options.port, options.host, () => {
             resolve({
                 address: formatAddress(server),
+                get clientConnections() {
+                    return connections?.size ?? 0;
+                },
                 setIdleTimeout: idleTimeoutMs => {
                     server.keepAliveTimeout = idleTimeoutMs;
                 },
@@ -94,6 +114,58 @@
     });
 }
 
+/** What the handler of a parsed head returns for an upgrade, after which no HTTP follows. */
+const upgradeResult = 2;
+/** Requests behind a response that closes its connection, beyond which the client is taken for hostile. */
+const maxDroppedRequests = 64;
+
+/**
+ * Connections that close after the last response. What follows on them counts as not read, so it must not be handled.
+ * Its objects stay until the connection closes: one read holds about a thousand heads, each of them 3 KB of objects.
+ */
+class ClosingConnections {
+    private readonly dropped = new WeakMap<Duplex, number>();
+
+    add(socket: Duplex): void {
+        this.dropped.set(socket, 0);
+        stopParsing(socket);
+    }
+
+    /** Whether the request must not be handled. */
+    dropRequest(socket: Duplex): boolean {
+        const count = this.dropped.get(socket);
+        if (count === undefined) {
+            return false;
+        }
+        this.dropped.set(socket, count + 1);
+        if (count >= maxDroppedRequests) {
+            socket.destroy();
+        }
+        return true;
+    }
+}
+
+/**
+ * Stops Node's parser behind the present request. Pausing the socket does not: one read of 64 KB holds about 700 heads,
+ * so that the objects of 100 such reads exceeded a heap of 128 MB. The parser has no public method for this; it stops
+ * when its handler reports an upgrade. Where it has no such handler, the requests are dropped one by one.
+ */
+function stopParsing(socket: Duplex): void {
+    const { parser } = socket as Duplex & { readonly parser?: { onIncoming?: () => number } };
+    if (typeof parser?.onIncoming === "function") {
+        parser.onIncoming = () => upgradeResult;
+    }
+}
+
+/** Refuses a request and closes its connection after the response. */
+function refusePipelinedRequest(socket: Duplex, response: ServerResponse): void {
+    // Nothing more is read: each head that is read costs memory until the connection closes.
+    socket.pause();
+    response.on("error", () => undefined);
+    response.writeHead(unavailableStatus, { connection: "close", "retry-after": "1", "x-mesh-outcome": "not-run" });
+    response.end();
+}
+
 /**
  * Tracks unfinished responses per connection. Malformed bytes may follow a request whose response is still in progress.
  * The caller would mistake an error response to them for the response to that request, or for a part of it.
@@ -126,7 +198,10 @@
     private addConnection(socket: Duplex): Set<ServerResponse> {
         const open = new Set<ServerResponse>();
         this.responses.set(socket, open);
-        socket.once("close", () => this.responses.delete(socket));
+        socket.once("close", () => {
+            this.responses.delete(socket);
+            setImmediate(() => closeResponses(open));
+        });
         return open;
     }
 
@@ -137,6 +212,17 @@
     }
 }
 
+/**
+ * Reports the end of responses that were waiting for others on their connection. Node only does so for the response
+ * that is being sent, so that the calls of the others would go on for nobody and never be released.
+ */
+function closeResponses(open: ReadonlySet<ServerResponse>): void {
+    for (const response of [...open]) {
+        response.destroy();
+        response.emit("close");
+    }
+}
+
 function formatAddress(server: Server): string {
     const { address, port, family } = server.address() as AddressInfo;
     return family === "IPv6" ? `[${address}]:${port}` : `${address}:${port}`;
--- a/transport/forwarding/src/frameConnection.ts
+++ b/transport/forwarding/src/frameConnection.ts
@@ -2,7 +2,11 @@
  * A TCP connection that carries frames.
  */
 import type { Socket } from "node:net";
-import { type Frame, FrameReader } from "@bilberrycroft/protocol.forwarding";
+import { encodeFrame, encodeFrameStart, type Frame, type FrameKind, FrameReader } from "@bilberrycroft/protocol.forwarding";
+import { recordReadChunk } from "@bilberrycroft/transport.calls";
+
+/** A copy of a smaller payload costs less than several writes. */
+const maxJoinedBytes = 65_536;
 
 /** Receives the events of a connection. */
 export interface FrameObserver {
@@ -11,6 +15,8 @@
     onFault(frame: Frame, error: unknown): void;
     /** Called once, when the connection ends, cannot be established or receives malformed frames. */
     onClosed(reason: string): void;
+    /** Called with the bytes held for incomplete frames each time the number changes; 0 at the end. */
+    onHeldBytes?(bytes: number): void;
 }
 
 /** Handles an exception that a frame has caused. */
@@ -20,6 +26,7 @@
 export class FrameConnection {
     private readonly reader = new FrameReader();
     private isClosed = false;
+    private heldBytes = 0;
 
     constructor(readonly socket: Socket, private readonly observer: FrameObserver) {
         socket.on("data", chunk => this.read(chunk));
@@ -35,19 +42,44 @@
         return this.socket.destroyed || this.socket.write(frame);
     }
 
+    /** Sends a frame whose payload is in several buffers, without joining large ones. */
+    sendParts(kind: FrameKind, offerId: number, parts: readonly Buffer[]): void {
+        if (this.socket.destroyed) {
+            return;
+        }
+        const bytes = parts.reduce((sum, part) => sum + part.length, 0);
+        if (bytes <= maxJoinedBytes) {
+            this.socket.write(encodeFrame(kind, offerId, parts.length === 1 ? parts[0] : Buffer.concat(parts)));
+            return;
+        }
+        this.socket.cork();
+        this.socket.write(encodeFrameStart(kind, offerId, bytes));
+        parts.forEach(part => this.socket.write(part));
+        this.socket.uncork();
+    }
+
     close(): void {
         this.socket.destroy();
     }
 
     private read(chunk: Buffer): void {
         const frames = this.reader.push(chunk);
+        recordReadChunk(chunk.length);
         if (frames === undefined) {
             this.socket.destroy();
             return;
         }
+        this.reportHeldBytes(this.reader.heldBytes);
         frames.forEach(frame => this.dispatch(frame));
     }
 
+    private reportHeldBytes(bytes: number): void {
+        if (bytes !== this.heldBytes) {
+            this.heldBytes = bytes;
+            this.observer.onHeldBytes?.(bytes);
+        }
+    }
+
     private dispatch(frame: Frame): void {
         try {
             this.observer.onFrame(frame);
@@ -60,6 +92,7 @@
     private handleClosed(reason: string): void {
         if (!this.isClosed) {
             this.isClosed = true;
+            this.reportHeldBytes(0);
             this.observer.onClosed(reason);
         }
     }
--- a/transport/forwarding/src/offerListener.ts
+++ b/transport/forwarding/src/offerListener.ts
@@ -54,6 +54,8 @@
     readonly maxConnections: number;
     /** Paces large responses. */
     readonly pacer: ResponsePacer;
+    /** Opens the account of the incomplete frames of one connection. */
+    openAccount?(): { set(bytes: number): void };
     handleOffer(offer: IncomingOffer): void;
     handleFault: FrameFaultHandler;
     /** Creates the report for a node that requests it without making a call. */
@@ -108,7 +110,9 @@
     private follower: Follower | undefined;
 
     constructor(socket: Socket, private readonly options: OfferListenerOptions) {
+        const account = options.openAccount?.();
         this.connection = new FrameConnection(socket, {
+            onHeldBytes: bytes => account?.set(bytes),
             onFrame: frame => this.handleFrame(frame),
             onFault: options.handleFault,
             onClosed: () => this.handleClosed(),
--- a/transport/forwarding/src/peerClient.ts
+++ b/transport/forwarding/src/peerClient.ts
@@ -49,7 +49,7 @@
 /** An offer in progress. */
 export interface OfferInProgress {
     /** Sends the body, after which the call may run. */
-    sendBody(body: Buffer): void;
+    sendBody(parts: readonly Buffer[]): void;
     /** Withdraws the offer, or cancels the call if it is running. */
     withdraw(): void;
     /** Whether any frame has been received from the node since the offer was sent. */
@@ -147,9 +147,7 @@
         this.observers.set(id, observer);
         this.connection.send(encodeMessage(FrameKind.Offer, id, message));
         return {
-            sendBody: body => {
-                this.connection.send(encodeFrame(FrameKind.Body, id, body));
-            },
+            sendBody: parts => this.connection.sendParts(FrameKind.Body, id, parts),
             withdraw: () => {
                 if (this.observers.delete(id)) {
                     this.connection.send(encodeFrame(FrameKind.Withdrawn, id));
