Document the limits of clients, and refuse bodies that the target's node cannot hold

An offer with a body that does not fit beside another is refused before its body is sent, so "not run" is true.

--- a/daemons/node/test/faultMatrix/oddInputs.ts
+++ b/daemons/node/test/faultMatrix/oddInputs.ts
@@ -13,6 +13,8 @@
 const calls = "platform/test/calls.test.ts";
 const endless = "platform/test/endless.test.ts";
 const invalidHeaders = "platform/test/invalidHeaders.test.ts";
+/** The loads that `platform/test/hostileClients.test.ts` sends to a sidecar and to a node. */
+const hostileClients = "platform/standins/hostileClients.ts";
 const malformed = "daemons/node/test/malformed.test.ts";
 const otherWriters = "platform/test/otherWriters.test.ts";
 /** The entries and heartbeats that the test file plays. */
@@ -40,6 +42,12 @@
     createInput("caller", "header name that cannot be sent", invalidHeaders, "is refused with 400 before it reaches a target"),
     createInput("caller", "header name that cannot be sent, to `daemons/node`", malformed, "header name with a space"),
     createInput("caller", "refused request without end", "transport/calls/test/discarding.test.ts", "its sender gets the response"),
+    createInput("caller", "many bodies that stop short of their end", hostileClients, "without their last byte"),
+    createInput("caller", "many bodies in chunks of one byte", hostileClients, "400,000 chunks of one byte"),
+    createInput("caller", "many chunks with extensions", hostileClients, "with an extension of 200 bytes"),
+    createInput("caller", "many bodies far over the limit", hostileClients, "far over the limit, not declared"),
+    createInput("caller", "thousands of pipelined heads", hostileClients, "2,000 pipelined heads"),
+    createInput("caller", "unfinished heads, more connections than allowed, unread responses", hostileClients, "300 unfinished heads"),
     createInput("other writer", "port out of range in an entry", otherWriterInputs, "a port above 65535"),
     createInput("other writer", "deeply nested entry", otherWriterInputs, "a deeply nested value"),
     createInput("other writer", "number too large in an entry", otherWriterInputs, "too large a number of slots"),
--- a/daemons/sidecar/src/tasks/targetTask.ts
+++ b/daemons/sidecar/src/tasks/targetTask.ts
@@ -56,6 +56,8 @@
 const availabilityCheckIntervalMs: Milliseconds = 500;
 /** Interval at which expired calls are refused while the queue is not empty. */
 const queueExpiryIntervalMs: Milliseconds = 20;
+/** About the time in which the bodies of running calls are released. */
+const noMemoryRetryAfterMs: Milliseconds = 300;
 /** Connections that break within this time cause one common check for a crash. */
 const crashProbeDelayMs: Milliseconds = 20;
 
@@ -78,6 +80,8 @@
     private readonly services: TargetServices;
     private readonly responseSizes = new ResponseSizes();
     private responsesInFlight = 0;
+    /** Bytes of the bodies of running calls. */
+    private heldBodyBytes = 0;
     private availabilityTimer: NodeJS.Timeout | undefined;
     private queueTimer: NodeJS.Timeout | undefined;
     private offerCount = 0;
@@ -190,6 +194,11 @@
         if (reason !== undefined) {
             return this.refuse(incoming, reason, 0);
         }
+        const { bodyBytes = 0 } = offer;
+        // One body is always accepted, so that the largest allowed one is served while the node is lightly loaded.
+        if (this.heldBodyBytes > 0 && !this.options.bufferBudget.hasRoom(bodyBytes)) {
+            return this.refuse(incoming, CallReason.Overloaded, noMemoryRetryAfterMs);
+        }
         if (offer.targetCallsPerSecond !== undefined) {
             this.options.queue.limit.adopt(offer.targetCallsPerSecond);
             this.logLimit("peer");
@@ -292,7 +301,11 @@
         });
         const account = this.options.bufferBudget.open();
         account.set(body.length);
-        const result = await call.run().finally(() => account.set(0));
+        this.heldBodyBytes += body.length;
+        const result = await call.run().finally(() => {
+            account.set(0);
+            this.heldBodyBytes -= body.length;
+        });
         this.running.delete(offer.callId);
         this.responsesInFlight++;
         void call.whenFlushed().then(() => {
