--- a/daemons/sidecar/src/settings.ts
+++ b/daemons/sidecar/src/settings.ts
@@ -1,5 +1,6 @@
 import type { SharedRetryBudget } from "@bilberrycroft/coordination.forwarding";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
+import type { ClientSettings } from "@bilberrycroft/transport.calls";
 
 /** Accuracy that a deployment requires of quotas over all nodes. */
 export interface QuotaSettings {
@@ -40,6 +41,7 @@
     readonly revocationMs: Milliseconds;
     /** Bounds of rollouts; `undefined` if versions are ignored. */
     readonly rollout?: RolloutBounds | undefined;
+    readonly clients: ClientSettings;
 }
 
 /** What a bad version may get of its service's calls. */
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -12,7 +12,14 @@
 import { type EventLog, FaultBarrier } from "@bilberrycroft/core.eventLog";
 import { createSeededRandom, type Random } from "@bilberrycroft/core.random";
 import type { AnnouncedCrash, StateVersions } from "@bilberrycroft/protocol.forwarding";
-import { type Listener, splitAddress, startListener, TargetClient } from "@bilberrycroft/transport.calls";
+import {
+    limitConnections,
+    type Listener,
+    readDescriptorLimit,
+    splitAddress,
+    startListener,
+    TargetClient,
+} from "@bilberrycroft/transport.calls";
 import {
     type FrameFaultHandler,
     type OfferListener,
@@ -20,12 +27,14 @@
     ResponsePacer,
     startOfferListener,
 } from "@bilberrycroft/transport.forwarding";
+import { ClientLimitCounts } from "./clientLimitCounts";
+import { Collections } from "./collections";
 import { CallMetrics } from "./metrics";
-import { decodeNodeObject, NodeTable, type StoredPlan } from "./nodeTable";
+import { NodeTable, type StoredPlan } from "./nodeTable";
 import type { MeshPlatform } from "./ports";
 import type { SidecarSettings } from "./settings";
 import { CallerTask } from "./tasks/callerTask";
-import { type CollectionContent, CollectionTask, type CollectionTaskOptions } from "./tasks/collectionTask";
+import type { CollectionContent, CollectionTask } from "./tasks/collectionTask";
 import { ConfigurationTask } from "./tasks/configurationTask";
 import { ProbeTask } from "./tasks/probeTask";
 import { RegistrationTask } from "./tasks/registrationTask";
@@ -42,25 +51,17 @@
 }
 
 const maxSeed = 0x7fffffff;
-/** Shares of the memory of the process for the bodies of calls of callers, and for responses of the target. */
-const bufferedMemoryShare = 0.125;
+/**
+ * Shares of the memory of the process for what it holds for clients, and for responses of the target that wait for the
+ * link. The first one holds a body of 64 MiB, the largest of the platform, in the 200 MB of the smallest machine; the
+ * program itself takes about 65 MB, and garbage that has not been collected up to 40 MB.
+ */
+const clientMemoryShare = 0.35;
+const pacedMemoryShare = 0.125;
 const defaultMemoryBytes = 268_435_456;
 const maxConnections = 3_000;
 const maxHeaderBytes = 65_536;
 const requestTimeoutMs: Milliseconds = 60_000;
-/** Batches most changes of a series into one watch, while changes still apply within seconds. */
-const configurationBatchDelayMs: Milliseconds = 600;
-/** A stale node table costs little: the target's node refuses the call, which is immediately retried elsewhere. */
-const nodeBatchDelayMs: Milliseconds = 1_000;
-/** The duration of an order runs while it waits, and orders are rare. */
-const orderBatchDelayMs: Milliseconds = 0;
-/** Long, because each watch costs and orders are rare. Two nodes watch, so that a silent connection hides no order. */
-const orderWatchWaitMs: Milliseconds = 20_000;
-/**
- * Longest wait of a watch, as a share of the time within which a removed key must lose its effect. Two watches, a batch
- * delay and the round trips fit into that time.
- */
-const confirmationShare = 0.25;
 /** Callers stop using the node after two failed readiness checks one second apart; includes time for the second one. */
 const readinessPropagationMs: Milliseconds = 2_300;
 const stopPollIntervalMs: Milliseconds = 50;
@@ -77,6 +78,8 @@
     private readonly handleFrameFault: FrameFaultHandler;
     private readonly peerClient: PeerClient;
     private readonly bufferBudget: BufferBudget;
+    private readonly budgetBytes: number;
+    private readonly clientLimits: ClientLimitCounts;
     private readonly pacer: ResponsePacer;
     private readonly targetClient = new TargetClient(this.clock);
     private readonly directory: TargetDirectory;
@@ -100,17 +103,19 @@
 
     constructor(private readonly options: SidecarOptions) {
         const { settings, platform, log } = options;
-        const { clock } = this;
         this.random = createSeededRandom(options.seed ?? randomInt(maxSeed));
         this.faults = new FaultBarrier(log);
+        const { clock, random, faults } = this;
         this.handleFrameFault = ({ kind, offerId }, error) => this.faults.record("frame", { kind, offerId }, error);
         this.peerClient = new PeerClient(this.handleFrameFault);
-        const bufferBytes = bufferedMemoryShare * (settings.memoryBytes ?? defaultMemoryBytes);
-        this.bufferBudget = new BufferBudget(bufferBytes);
+        const memoryBytes = settings.memoryBytes ?? defaultMemoryBytes;
+        this.budgetBytes = clientMemoryShare * memoryBytes;
+        this.bufferBudget = new BufferBudget(this.budgetBytes, clock);
+        this.clientLimits = new ClientLimitCounts(log);
         this.pacer = new ResponsePacer({
             clock,
             linkBytesPerSecond: settings.linkBytesPerSecond,
-            maxQueuedBytes: bufferBytes,
+            maxQueuedBytes: pacedMemoryShare * memoryBytes,
         });
         const directory = new TargetDirectory({
             clock,
@@ -123,13 +128,9 @@
         this.directory = directory;
         this.quarantine = new Quarantine({ node: settings.node, clock });
         this.retryBudgets = new RetryBudgets({ clock, bound: settings.retryBudget, countNodes: () => directory.size });
-        this.configurationCollection = this.createConfigurationCollection();
-        this.nodeCollection = this.createCollectionTask({
-            name: "nodes",
-            collection: platform.nodes,
-            batchDelayMs: nodeBatchDelayMs,
-            decode: value => decodeNodeObject(value, settings.rollout !== undefined),
-        });
+        const collections = new Collections({ settings, platform, clock, random, log, faults });
+        this.configurationCollection = collections.createConfigurations();
+        this.nodeCollection = collections.createNodes();
         this.configurationTask = new ConfigurationTask({ platform, log });
         const localTarget = new LocalTarget({
             clock,
@@ -157,7 +158,7 @@
             handlePeerVersions: versions => this.handlePeerVersions(versions),
         });
         const selection = new SourceSelection({ clock, node: settings.node, zone: settings.zone });
-        this.rolloutTask = this.createRolloutTask(selection);
+        this.rolloutTask = this.createRolloutTask(selection, collections);
         this.relayTask = new RelayTask({
             clock,
             log,
@@ -179,12 +180,25 @@
             maxConnections,
             maxHeaderBytes,
             requestTimeoutMs,
+            clients: {
+                ...limitConnections(settings.clients, {
+                    budgetBytes: this.budgetBytes,
+                    descriptors: readDescriptorLimit(),
+                }),
+                accounts: this.bufferBudget,
+                onLimit: (limit, address) => this.clientLimits.record(limit, {
+                    address,
+                    connections: this.callerListener?.clientConnections ?? 0,
+                    buffered: this.bufferBudget.used,
+                }),
+            },
             handle: (request, response) => this.callerTask.handle(request, response),
         });
         this.offerListener = await startOfferListener({
             ...splitAddress(settings.offerAddress),
             maxConnections,
             pacer: this.pacer,
+            openAccount: () => this.bufferBudget.open(),
             handleOffer: offer => this.targetTask.handleOffer(offer),
             handleFault: this.handleFrameFault,
             createReport: () => this.targetTask.createProbeReport(),
@@ -226,6 +240,9 @@
             { name: "target_calls_sent", help: "Calls sent to the target since the start.", read: () => this.targetTask.sentCalls },
             { name: "target_request_limit", help: "Calls per second that the target accepts; 0 without a limit.", read: () => this.targetTask.requestLimit },
             { name: "buffered_bytes", help: "Bytes of requests and responses held for callers.", read: () => this.bufferBudget.used },
+            { name: "clients_connected", help: "Open connections of callers.", read: () => this.callerListener?.clientConnections ?? 0 },
+            { name: "clients_evicted", help: "Requests and responses that gave up their memory.", read: () => this.bufferBudget.evictions },
+            ...this.clientLimits.gauges,
             { name: "faults_confined", help: "Exceptions confined to what caused them.", read: () => this.faults.count },
             ...this.plans.map(({ plan: { service, version, phase, share } }) => ({
                 name: "rollout_share",
@@ -248,19 +265,11 @@
         return this.close();
     }
 
-    private createCollectionTask(
-        options: Omit<CollectionTaskOptions, "clock" | "random" | "log" | "faults">,
-    ): CollectionTask {
-        const { clock, random, faults } = this;
-        return new CollectionTask({ ...options, clock, random, faults, log: this.options.log });
-    }
-
-    private createRolloutTask(selection: SourceSelection): RolloutTask | undefined {
+    private createRolloutTask(selection: SourceSelection, collections: Collections): RolloutTask | undefined {
         const { settings: { rollout: bounds, node }, platform, log } = this.options;
         if (bounds === undefined) {
             return undefined;
         }
-        const { collection, decodeOrder } = platform.rollouts;
         return new RolloutTask({
             clock: this.clock,
             log,
@@ -268,40 +277,14 @@
             node,
             bounds,
             platform: platform.rollouts,
-            orders: this.createCollectionTask({
-                name: "rollouts",
-                collection,
-                batchDelayMs: orderBatchDelayMs,
-                decode: decodeOrder,
-                watchWaitMs: orderWatchWaitMs,
-            }),
+            orders: collections.createOrders(),
             plans: platform.nodes,
             requestReport: (address, timeoutMs) => this.peerClient.requestReport(address, timeoutMs),
             // What other nodes hear from this one; otherwise two of them would act after an outage of the store.
             isReading: () => this.relayTask.isAnnouncedReader,
             countReadersBefore: () => selection.countReadersBefore(),
             knownVersionsOf: service => this.directory.knownVersionsOf(service),
-            maxCallMs: service => this.maxCallMs(service),
-        });
-    }
-
-    /** Longest timeout of the routes to the service. */
-    private maxCallMs(service: string): Milliseconds {
-        const routes = this.configurationTask.current?.configuration.routes ?? [];
-        return routes.filter(({ services }) => services.some(weighted => weighted.service === service))
-            .reduce((longest, { timeoutMs }) => Math.max(longest, timeoutMs), 0);
-    }
-
-    private createConfigurationCollection(): CollectionTask {
-        const { settings: { strictRevocation, revocationMs }, platform } = this.options;
-        const confirmationMs = strictRevocation ? revocationMs * confirmationShare : undefined;
-        const batchDelayMs = Math.min(configurationBatchDelayMs, confirmationMs ?? configurationBatchDelayMs);
-        return this.createCollectionTask({
-            name: "configuration",
-            collection: platform.configurations,
-            batchDelayMs,
-            decode: value => value,
-            confirmationMs,
+            maxCallMs: service => this.configurationTask.maxTimeoutMs(service),
         });
     }
 
@@ -324,6 +307,7 @@
             codec: platform.headers,
             log,
             faults: this.faults,
+            bufferBudget: this.bufferBudget,
             targetAddress: settings.targetAddress,
             getLocalVersions: () => this.getLocalVersions(),
             handlePeerVersions: versions => this.handlePeerVersions(versions),
--- a/daemons/sidecar/src/tasks/configurationTask.ts
+++ b/daemons/sidecar/src/tasks/configurationTask.ts
@@ -2,6 +2,7 @@
  * Validates and activates configurations that are read from the store or relayed by another node. Only a newer valid
  * version replaces the active one.
  */
+import type { Milliseconds } from "@bilberrycroft/core.clock";
 import type { EventLog } from "@bilberrycroft/core.eventLog";
 import { isNumber, isRecord } from "@bilberrycroft/core.json";
 import {
@@ -50,6 +51,13 @@
         return this.table;
     }
 
+    /** Longest timeout of the routes to the service. */
+    maxTimeoutMs(service: string): Milliseconds {
+        const routes = this.table?.configuration.routes ?? [];
+        return routes.filter(({ services }) => services.some(weighted => weighted.service === service))
+            .reduce((longest, { timeoutMs }) => Math.max(longest, timeoutMs), 0);
+    }
+
     /** Records the version in force at a peer. */
     recordPeerVersion(version: number): void {
         this.newestPeerVersion = Math.max(this.newestPeerVersion, version);
--- a/daemons/sidecar/src/tasks/targetTask.ts
+++ b/daemons/sidecar/src/tasks/targetTask.ts
@@ -2,6 +2,7 @@
  * Queues the calls that nodes offer to the local target, runs the granted ones, and tracks the target's availability.
  */
 import {
+    type BufferBudget,
     ResponseSizes,
     type OfferDecision,
     OfferDecisionKind,
@@ -40,6 +41,8 @@
     readonly targetAddress: string;
     /** Paces large responses to the bandwidth of the link. */
     readonly pacer: ResponsePacer;
+    /** Counts the bodies of the target's calls. */
+    readonly bufferBudget: BufferBudget;
     getLocalVersions(): StateVersions;
     handlePeerVersions(versions: StateVersions): void;
     /** Called when the target says in a response that it leaves. */
@@ -54,6 +57,8 @@
 const availabilityCheckIntervalMs: Milliseconds = 500;
 /** Interval at which expired calls are refused while the queue is not empty. */
 const queueExpiryIntervalMs: Milliseconds = 20;
+/** About the time in which the bodies of running calls are released. */
+const noMemoryRetryAfterMs: Milliseconds = 300;
 /** Connections that break within this time cause one common check for a crash. */
 const crashProbeDelayMs: Milliseconds = 20;
 
@@ -78,6 +83,8 @@
     /** What the target's version does during a rollout. */
     readonly evidence: TargetEvidence;
     private responsesInFlight = 0;
+    /** Bytes of the bodies of running calls. */
+    private heldBodyBytes = 0;
     private availabilityTimer: NodeJS.Timeout | undefined;
     private queueTimer: NodeJS.Timeout | undefined;
     private offerCount = 0;
@@ -198,6 +205,11 @@
         if (reason !== undefined) {
             return this.refuse(incoming, reason, 0);
         }
+        const { bodyBytes = 0 } = offer;
+        // One body is always accepted, so that the largest allowed one is served while the node is lightly loaded.
+        if (this.heldBodyBytes > 0 && !this.options.bufferBudget.hasRoom(bodyBytes)) {
+            return this.refuse(incoming, CallReason.Overloaded, noMemoryRetryAfterMs);
+        }
         if (offer.targetCallsPerSecond !== undefined) {
             this.options.queue.limit.adopt(offer.targetCallsPerSecond);
             this.logLimit("peer");
@@ -302,7 +314,13 @@
             onBody: () => undefined,
             onWithdrawn: () => call.handleWithdrawal(),
         });
-        const result = await call.run();
+        const account = this.options.bufferBudget.open();
+        account.set(body.length);
+        this.heldBodyBytes += body.length;
+        const result = await call.run().finally(() => {
+            account.set(0);
+            this.heldBodyBytes -= body.length;
+        });
         this.running.delete(offer.callId);
         this.evidence.record({ target: announced, route: offer.route, result, startedAt });
         this.responsesInFlight++;
