Decide quotas over all nodes in a pure package

Cause: a limit of an organisation holds for all nodes together, and no node sees more than its own calls.

Change: coordination/quotas with QuotaLedger (accounting node), QuotaAllowances (caller's node), selectAccountingNode, NodeContacts and QuotaNode, which composes them; messages AllowanceRequest and Allowance with checked parsers. Nothing uses them yet.

--- /dev/null
+++ b/coordination/quotas/src/quotaLedger.ts
@@ -0,0 +1,278 @@
+/**
+ * Token buckets of the organisations for which this node is the accounting node.
+ *
+ * Answers load above the limit of an organisation that arrives spread over many nodes: no node alone can tell. A bucket
+ * never grants more than it holds. A node that was frozen does not know what its successor granted, so the ledger
+ * begins anew after a gap in its own activity.
+ */
+import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
+import { type AllowanceAsk, maxTokensPerGrant, type QuotaLimit } from "@bilberrycroft/protocol.forwarding";
+import {
+    computeCapacity,
+    computeInitialTokens,
+    computeLifetimeMs,
+    computeLongLifetimeMs,
+    computeReserve,
+    millisecondsPerSecond,
+    type QuotaBound,
+} from "./quotaBound";
+
+export interface QuotaLedgerOptions {
+    readonly clock: Clock;
+    readonly bound: QuotaBound;
+    /** Share of all nodes that respond to this node; `isSubstitute` if the organisation has another preferred node. */
+    readonly respondingShare: (isSubstitute: boolean) => number;
+}
+
+/** Tokens granted to a node. */
+export interface LedgerGrant {
+    readonly tokens: number;
+    readonly validMs: Milliseconds;
+    readonly pauseMs: Milliseconds;
+    readonly retryAfterMs: Milliseconds;
+}
+
+/** `advance` must be called at this interval while the ledger has accounts. */
+export const ledgerIntervalMs: Milliseconds = 250;
+/** A longer gap than this counts as a freeze. Nodes select another accounting node after 300 ms and more. */
+const maxGapMs: Milliseconds = 700;
+/** Bounds memory use; organisations beyond this number are decided by equal parts. */
+export const maxAccounts = 4_096;
+/** Bounds memory use of one account. */
+const maxAskers = 2_048;
+/** A bucket filled less than this share limits grants and withholds the parts of nodes that do not respond. */
+const tightShare = 0.5;
+/** Demand that a grant covers in advance, as a share of the lifetime of tokens. */
+const wellFilledPrefetchShare = 0.8;
+const tightPrefetchShare = 0.2;
+/** Refused nodes ask again after this time for each node that asks, which bounds the requests to about 500 a second. */
+const pausePerAskerMs: Milliseconds = 2;
+const minPauseMs: Milliseconds = 10;
+const maxPauseMs: Milliseconds = 1_000;
+/** Nodes that asked within this time share the requests per second. */
+const askerLifetimeMs: Milliseconds = 1_000;
+/** Grants to one node within this time expire together in the ledger's record. */
+const lotResolutionMs: Milliseconds = 30;
+/** A rate may be as low as one call in hours; callers are not told to wait longer than this. */
+const maxRetryAfterMs: Milliseconds = 60_000;
+/** Part of the reserve that may be granted each second although some nodes do not respond. */
+const reserveSharePerSecond = 0.03;
+
+/** Tokens granted to a node at about the same time. */
+interface GrantedLot {
+    tokens: number;
+    readonly expiresAt: Milliseconds;
+}
+
+interface Asker {
+    readonly askedAt: Milliseconds;
+    /** Tokens that have not expired; the node may have used them already. */
+    readonly lots: GrantedLot[];
+}
+
+interface Account {
+    limit: QuotaLimit;
+    isSubstitute: boolean;
+    tokens: number;
+    refilledAt: Milliseconds;
+    /** Tokens that may still be used. */
+    outstanding: GrantedLot[];
+    readonly askers: Map<string, Asker>;
+}
+
+export class QuotaLedger {
+    private readonly accounts = new Map<string, Account>();
+    private readonly lifetimeMs: Milliseconds;
+    private activeAt: Milliseconds;
+
+    constructor(private readonly options: QuotaLedgerOptions) {
+        this.lifetimeMs = computeLifetimeMs(options.bound);
+        this.activeAt = options.clock.now();
+    }
+
+    get size(): number {
+        return this.accounts.size;
+    }
+
+    get organisations(): readonly string[] {
+        return [...this.accounts.keys()];
+    }
+
+    /** Whether any bucket in use is so empty that the parts of nodes that do not respond matter. */
+    get isTight(): boolean {
+        return [...this.accounts.values()].some(account =>
+            account.askers.size > 0 && this.isAccountTight(account) && this.exceedsReserve(account));
+    }
+
+    has(organisation: string): boolean {
+        return this.accounts.has(organisation);
+    }
+
+    /**
+     * Opens an account, or changes the limit of an existing one. A new bucket is empty. Returns `false` if the ledger
+     * is full.
+     */
+    open(organisation: string, limit: QuotaLimit, isSubstitute: boolean): boolean {
+        this.detectGap();
+        const existing = this.accounts.get(organisation);
+        if (existing === undefined) {
+            if (this.accounts.size >= maxAccounts) {
+                return false;
+            }
+            const tokens = this.computeInitialTokens(limit, isSubstitute);
+            const refilledAt = this.options.clock.now();
+            const account = { limit, isSubstitute, tokens, refilledAt, outstanding: [], askers: new Map() };
+            this.accounts.set(organisation, account);
+            return true;
+        }
+        this.refill(existing);
+        existing.isSubstitute = isSubstitute;
+        existing.limit = limit;
+        existing.tokens = Math.min(existing.tokens, computeCapacity(limit, this.options.bound));
+        return true;
+    }
+
+    close(organisation: string): void {
+        this.accounts.delete(organisation);
+    }
+
+    /** Grants tokens of an open account. */
+    grant(node: string, { organisation, tokens: asked, demand, returned }: AllowanceAsk): LedgerGrant {
+        this.detectGap();
+        const account = this.accounts.get(organisation);
+        if (account === undefined) {
+            return { tokens: 0, validMs: 0, pauseMs: minPauseMs, retryAfterMs: minPauseMs };
+        }
+        this.refill(account);
+        const now = this.options.clock.now();
+        const lots = this.acceptReturn(account, node, returned);
+        const isTight = this.isAccountTight(account);
+        const prefetchShare = isTight ? tightPrefetchShare : wellFilledPrefetchShare;
+        const validMs = isTight ? this.lifetimeMs : computeLongLifetimeMs(this.options.bound);
+        const prefetched = Math.floor(demand * prefetchShare * validMs / millisecondsPerSecond);
+        const available = Math.max(0, Math.floor(account.tokens));
+        const tokens = Math.min(available, asked + prefetched, maxTokensPerGrant);
+        account.tokens -= tokens;
+        this.recordAsker(account, node, { askedAt: now, lots: addLot(lots, { tokens, expiresAt: now + validMs }) });
+        account.outstanding = addLot(account.outstanding, { tokens, expiresAt: now + validMs });
+        if (tokens >= asked) {
+            return { tokens, validMs, pauseMs: 0, retryAfterMs: 0 };
+        }
+        const pauseMs = Math.min(maxPauseMs, Math.max(minPauseMs, pausePerAskerMs * account.askers.size));
+        const untilRoomMs = (1 - account.tokens) / account.limit.callsPerSecond * millisecondsPerSecond;
+        return { tokens, validMs, pauseMs, retryAfterMs: Math.min(maxRetryAfterMs, Math.max(pauseMs, untilRoomMs)) };
+    }
+
+    /** Refills all buckets and drops the nodes that no longer ask. */
+    advance(): void {
+        this.detectGap();
+        const now = this.options.clock.now();
+        for (const account of this.accounts.values()) {
+            this.refill(account);
+            for (const [node, { askedAt }] of account.askers) {
+                if (now - askedAt > askerLifetimeMs) {
+                    account.askers.delete(node);
+                }
+            }
+        }
+    }
+
+    private computeInitialTokens(limit: QuotaLimit, isSubstitute: boolean): number {
+        return computeInitialTokens(limit, this.options.bound, this.options.respondingShare(isSubstitute));
+    }
+
+    /** Begins all accounts anew if this node did not run for longer than others wait for it. */
+    private detectGap(): void {
+        const now = this.options.clock.now();
+        if (now - this.activeAt > maxGapMs) {
+            for (const account of this.accounts.values()) {
+                const initial = this.computeInitialTokens(account.limit, account.isSubstitute);
+                account.tokens = Math.min(account.tokens, initial);
+                account.refilledAt = now;
+                account.askers.clear();
+            }
+        }
+        this.activeAt = now;
+    }
+
+    private refill(account: Account): void {
+        const now = this.options.clock.now();
+        const earned = (now - account.refilledAt) * this.computeRate(account) / millisecondsPerSecond;
+        account.tokens = Math.max(account.tokens, Math.min(this.computeRoom(account), account.tokens + earned));
+        account.refilledAt = now;
+    }
+
+    /**
+     * Tokens up to which the bucket fills. Together with those outstanding, it never exceeds its capacity by more than
+     * the rate over the short lifetime, so that the bound holds for tokens of any lifetime.
+     */
+    private computeRoom(account: Account): number {
+        const { limit } = account;
+        const now = this.options.clock.now();
+        account.outstanding = account.outstanding.filter(({ expiresAt }) => expiresAt > now);
+        const outstanding = account.outstanding.reduce((sum, { tokens }) => sum + tokens, 0);
+        const capacity = computeCapacity(limit, this.options.bound);
+        const allowedOutstanding = limit.callsPerSecond * this.lifetimeMs / millisecondsPerSecond;
+        return Math.min(capacity, capacity + allowedOutstanding - outstanding);
+    }
+
+    /** Calls per second for the nodes that respond; those that do not use their parts of the rate by themselves. */
+    private computeRate(account: Account): number {
+        const { callsPerSecond } = account.limit;
+        if (!account.isSubstitute && !(this.isAccountTight(account) && this.exceedsReserve(account))) {
+            return callsPerSecond;
+        }
+        const reserve = computeReserve(account.limit, this.options.bound);
+        const share = this.options.respondingShare(account.isSubstitute);
+        return Math.min(callsPerSecond, share * callsPerSecond + reserveSharePerSecond * reserve);
+    }
+
+    /** Whether the calls of the cut-off nodes in one window may exceed the reserve for failures. */
+    private exceedsReserve({ limit }: Account): boolean {
+        const { bound } = this.options;
+        const quota = limit.callsPerSecond * bound.windowMs / millisecondsPerSecond;
+        return quota > computeReserve(limit, bound);
+    }
+
+    private isAccountTight({ tokens, limit }: Account): boolean {
+        return tokens < tightShare * computeCapacity(limit, this.options.bound);
+    }
+
+    /**
+     * Puts returned tokens back into the bucket, up to what this ledger granted to the node and has not expired.
+     * Returns what the node holds afterwards.
+     */
+    private acceptReturn(account: Account, node: string, returned: number): GrantedLot[] {
+        const now = this.options.clock.now();
+        const lots = (account.askers.get(node)?.lots ?? []).filter(({ expiresAt }) => expiresAt > now);
+        let remaining = returned;
+        for (const lot of lots) {
+            const accepted = Math.min(remaining, lot.tokens);
+            lot.tokens -= accepted;
+            remaining -= accepted;
+        }
+        const capacity = computeCapacity(account.limit, this.options.bound);
+        account.tokens = Math.min(capacity, account.tokens + returned - remaining);
+        return lots.filter(({ tokens }) => tokens > 0);
+    }
+
+    private recordAsker(account: Account, node: string, asker: Asker): void {
+        account.askers.delete(node);
+        if (account.askers.size >= maxAskers) {
+            account.askers.delete(account.askers.keys().next().value as string);
+        }
+        account.askers.set(node, asker);
+    }
+}
+
+/** Adds a grant to the last lot if that was granted just before, so that a node has few lots. */
+function addLot(lots: GrantedLot[], { tokens, expiresAt }: GrantedLot): GrantedLot[] {
+    const last = lots.at(-1);
+    if (last !== undefined && Math.abs(expiresAt - last.expiresAt) < lotResolutionMs) {
+        last.tokens += tokens;
+    }
+    else if (tokens > 0) {
+        lots.push({ tokens, expiresAt });
+    }
+    return lots;
+}
--- /dev/null
+++ b/coordination/quotas/test/quotaLedger.test.ts
@@ -0,0 +1,208 @@
+import { ManualClock } from "@bilberrycroft/core.clock";
+import { createSeededRandom } from "@bilberrycroft/core.random";
+import { AllowanceGrantKind, type AllowanceAsk } from "@bilberrycroft/protocol.forwarding";
+import {
+    computeCapacity,
+    hashNode,
+    NodeContacts,
+    QuotaAllowances,
+    QuotaDecisionKind,
+    QuotaLedger,
+    selectAccountingNode,
+} from "@bilberrycroft/coordination.quotas";
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { bound } from "./quotaPlay";
+
+const organisation = "org";
+const limit = { callsPerSecond: 100, burst: 50 };
+const validMs = 300;
+
+function createAsk(fields: Partial<AllowanceAsk> = {}): AllowanceAsk {
+    return { organisation, tokens: 1, demand: 0, returned: 0, limit, ...fields };
+}
+
+function createLedger(respondingShare = 1) {
+    const clock = new ManualClock();
+    const ledger = new QuotaLedger({ clock, bound, respondingShare: () => respondingShare });
+    ledger.open(organisation, limit, false);
+    const pass = (durationMs: number): void => {
+        for (let elapsed = 0; elapsed < durationMs; elapsed += 250) {
+            clock.advance(Math.min(250, durationMs - elapsed));
+            ledger.advance();
+        }
+    };
+    return { clock, ledger, pass };
+}
+
+describe("ledger", () => {
+    it("begins empty, so that a restart gives no second burst", () => {
+        expect(createLedger().ledger.grant("a", createAsk()).tokens).toBe(0);
+    });
+
+    it("never grants more than its capacity and rate, whatever is asked and returned", () => {
+        const step = fc.record({
+            node: fc.constantFrom("a", "b", "c"),
+            tokens: fc.nat(200),
+            demand: fc.nat(1_000),
+            returned: fc.nat(200),
+            pauseMs: fc.nat(1_500),
+        });
+        fc.assert(fc.property(fc.array(step, { maxLength: 60 }), steps => {
+            const { clock, ledger } = createLedger();
+            let granted = 0;
+            // Each node returns at most what it was granted, as a truthful one would.
+            const held = new Map<string, number>();
+            for (const { node, tokens, demand, returned, pauseMs } of steps) {
+                clock.advance(pauseMs);
+                const given = Math.min(returned, held.get(node) ?? 0);
+                const grant = ledger.grant(node, createAsk({ tokens, demand, returned: given }));
+                granted += grant.tokens - given;
+                held.set(node, (held.get(node) ?? 0) - given + grant.tokens);
+                expect(Number.isInteger(grant.tokens)).toBe(true);
+            }
+            const earned = clock.now() * limit.callsPerSecond / 1_000;
+            const returnedAtMost = [...held.values()].reduce((sum, count) => sum + count, 0);
+            expect(granted).toBeLessThanOrEqual(earned + 1e-6);
+            expect(returnedAtMost).toBe(granted);
+        }), { seed: 1, numRuns: 300 });
+    });
+
+    it("accepts a return only of tokens that it granted to the same node and that have not expired", () => {
+        const { clock, ledger, pass } = createLedger();
+        pass(400);
+        const { tokens } = ledger.grant("a", createAsk({ tokens: 100 }));
+        expect(ledger.grant("b", createAsk({ tokens: 0, returned: tokens })).tokens).toBe(0);
+        expect(ledger.grant("b", createAsk({ tokens })).tokens).toBe(0);
+        expect(ledger.grant("a", createAsk({ tokens, returned: tokens })).tokens).toBe(tokens);
+        clock.advance(600);
+        const earned = 60;
+        expect(ledger.grant("a", createAsk({ tokens: 1_000, returned: tokens })).tokens).toBeLessThanOrEqual(earned);
+    });
+
+    it("begins anew after a freeze, because another node granted meanwhile", () => {
+        const { clock, ledger, pass } = createLedger();
+        pass(2_000);
+        clock.advance(800);
+        expect(ledger.grant("a", createAsk()).tokens).toBe(0);
+    });
+
+    it("lowers its bucket with the limit", () => {
+        const { ledger, pass } = createLedger();
+        pass(2_000);
+        const lowered = { callsPerSecond: 1, burst: 0 };
+        ledger.open(organisation, lowered, false);
+        expect(ledger.grant("a", createAsk({ tokens: 1_000 })).tokens).toBeLessThanOrEqual(computeCapacity(lowered, bound));
+    });
+
+    it("withholds the parts of nodes that do not respond once the bucket is tight", () => {
+        const { ledger, pass } = createLedger(0.5);
+        ledger.grant("a", createAsk());
+        pass(1_000);
+        ledger.grant("a", createAsk({ tokens: 1_000 }));
+        pass(500);
+        expect(ledger.grant("a", createAsk({ tokens: 1_000 })).tokens).toBeLessThan(0.35 * limit.callsPerSecond);
+    });
+});
+
+describe("allowances", () => {
+    function createAllowances(nodes = 10, callsPerSecond = 100) {
+        const clock = new ManualClock();
+        const random = createSeededRandom(1);
+        const allowances = new QuotaAllowances({ clock, random, bound, countNodes: () => nodes });
+        allowances.setLimits(new Map([[organisation, { callsPerSecond, burst: 50 }]]));
+        const receive = (tokens: number, askedAt: number, pauseMs = 0): void => allowances.handleGrant(
+            { kind: AllowanceGrantKind.Granted, organisation, tokens, validMs, pauseMs, retryAfterMs: 2 * pauseMs },
+            askedAt,
+        );
+        return { clock, allowances, receive };
+    }
+
+    it("hold tokens from the moment of the request, so that a late grant is shorter or void", () => {
+        const { clock, allowances, receive } = createAllowances();
+        clock.advance(validMs - 1);
+        receive(2, 0);
+        expect(allowances.decide(organisation)?.kind).toBe(QuotaDecisionKind.Admitted);
+        clock.advance(1);
+        expect(allowances.decide(organisation)).toBeUndefined();
+        receive(5, 0);
+        expect(allowances.decide(organisation)).toBeUndefined();
+        expect(allowances.heldTokens).toBe(0);
+    });
+
+    it("refuse without a request during the pause that a grant names", () => {
+        const { clock, allowances, receive } = createAllowances();
+        receive(0, 0, 100);
+        expect(allowances.decide(organisation)).toMatchObject({ kind: QuotaDecisionKind.Refused, retryAfterMs: 200 });
+        expect(allowances.createAsk(organisation, 1)).toBeUndefined();
+        clock.advance(100);
+        expect(allowances.createAsk(organisation, 1)).toMatchObject({ tokens: 1 });
+    });
+
+    it.each([[10, 100], [72, 3], [670, 3]])("admit the rate together by equal parts: %i nodes, %i calls/s", (nodes, rate) => {
+        const random = createSeededRandom(2);
+        const clock = new ManualClock();
+        const all = Array.from({ length: nodes }, () => {
+            const allowances = new QuotaAllowances({ clock, random, bound, countNodes: () => nodes });
+            allowances.setLimits(new Map([[organisation, { callsPerSecond: rate, burst: 0 }]]));
+            return allowances;
+        });
+        let admitted = 0;
+        const durationMs = 5_000;
+        for (let at = 0; at <= durationMs; at += 5) {
+            admitted += all.filter(allowances =>
+                allowances.decideByEqualPart(organisation).kind === QuotaDecisionKind.Admitted).length;
+            clock.advance(5);
+        }
+        const expected = rate * durationMs / 1_000;
+        expect(admitted).toBeGreaterThan(0.6 * expected);
+        expect(admitted).toBeLessThan(expected + 20);
+    });
+
+    it("drop the state of organisations that are gone", () => {
+        const { allowances, receive } = createAllowances();
+        receive(5, 0);
+        allowances.setLimits(new Map());
+        expect(allowances.heldTokens).toBe(0);
+        expect(allowances.decide(organisation)?.kind).toBe(QuotaDecisionKind.Admitted);
+    });
+});
+
+describe("accounting node", () => {
+    const nodes = Array.from({ length: 72 }, (_, index) => hashNode(`sidecar-fukuoka-${index}`));
+    const organisations = Array.from({ length: 1_000 }, (_, index) => `tenant-${index}`);
+
+    it("moves only the organisations of a node that is lost", () => {
+        const lost = nodes[7]?.node;
+        const remaining = nodes.filter(({ node }) => node !== lost);
+        const moved = organisations.filter(name =>
+            selectAccountingNode(name, nodes) !== selectAccountingNode(name, remaining));
+        expect(moved).toEqual(organisations.filter(name => selectAccountingNode(name, nodes) === lost));
+    });
+
+    it("is spread over all nodes, so that none carries the requests of many organisations", () => {
+        const counts = new Map<string | undefined, number>();
+        organisations.forEach(name => {
+            const selected = selectAccountingNode(name, nodes);
+            counts.set(selected, (counts.get(selected) ?? 0) + 1);
+        });
+        expect(Math.max(...counts.values())).toBeLessThan(3 * organisations.length / nodes.length);
+    });
+});
+
+describe("contacts", () => {
+    it("count a zone as cut off after two silent nodes, until one of its nodes is heard", () => {
+        const clock = new ManualClock();
+        const contacts = new NodeContacts({ clock, node: "a0" });
+        contacts.setNodes(["a0", "a1", "b0", "b1", "b2", "b3"].map(node => ({ node, zone: node.slice(0, 1) })));
+        for (const node of ["b0", "b0", "b1"]) {
+            contacts.recordFailure(node, clock.now());
+        }
+        expect(contacts.isResponding("b2")).toBe(true);
+        contacts.recordFailure("b1", clock.now());
+        expect(contacts.isResponding("b2")).toBe(false);
+        expect(contacts.computeRespondingShare(false)).toBeCloseTo(1 / 3);
+        contacts.recordHeard("b3");
+        expect(contacts.isResponding("b2")).toBe(true);
+    });
+});
--- /dev/null
+++ b/protocol/forwarding/src/allowanceMessages.ts
@@ -0,0 +1,136 @@
+/**
+ * Messages between a node that admits calls of an organisation and the accounting node of that organisation.
+ */
+import { isNumber, isRecord, isText } from "@bilberrycroft/core.json";
+import type { Milliseconds } from "@bilberrycroft/core.clock";
+import { parseFields } from "./messages";
+
+/** Limit on the calls of an organisation over all nodes. */
+export interface QuotaLimit {
+    readonly callsPerSecond: number;
+    /** Calls allowed at once in addition to the rate. */
+    readonly burst: number;
+}
+
+/** Request for the tokens of one organisation. */
+export interface AllowanceAsk {
+    readonly organisation: string;
+    /** Calls that wait for a token. */
+    readonly tokens: number;
+    /** Recent calls per second at the sender. */
+    readonly demand: number;
+    /** Unused tokens of earlier grants that the sender gives up. */
+    readonly returned: number;
+    /** Limit in the sender's configuration. */
+    readonly limit: QuotaLimit;
+}
+
+/** Requests tokens; without asks, only a reply that shows that the receiver responds. */
+export interface AllowanceRequest {
+    /** Name of the sender. */
+    readonly node: string;
+    /** Version of the sender's configuration. */
+    readonly configurationVersion: number;
+    readonly asks: readonly AllowanceAsk[];
+}
+
+export enum AllowanceGrantKind {
+    Granted = "granted",
+    /** The receiver is not the accounting node of the organisation. */
+    Declined = "declined",
+}
+
+/** Reply to one ask. */
+export type AllowanceGrant =
+    | { readonly kind: AllowanceGrantKind.Declined; readonly organisation: string }
+    | {
+        readonly kind: AllowanceGrantKind.Granted;
+        readonly organisation: string;
+        readonly tokens: number;
+        /** Time from the request until the tokens expire. */
+        readonly validMs: Milliseconds;
+        /** Time during which further requests would be in vain; 0 if all tokens were granted. */
+        readonly pauseMs: Milliseconds;
+        /** Time until there is room for one more call. */
+        readonly retryAfterMs: Milliseconds;
+    };
+
+/** Reply to `AllowanceRequest`. */
+export interface Allowance {
+    readonly grants: readonly AllowanceGrant[];
+}
+
+/** Maximum organisations in one message. */
+export const maxAsksPerRequest = 256;
+/** Maximum tokens in one ask or grant. A node that needs more asks again within the lifetime of its tokens. */
+export const maxTokensPerGrant = 100_000;
+/** Fits `maxAsksPerRequest` names of the longest kind. */
+const maxMessageBytes = 1_048_576;
+/** Limit of names, in UTF-16 code units. */
+const maxNameLength = 512;
+const maxCallsPerSecond = 1e9;
+const maxDelayMs: Milliseconds = 3_600_000;
+
+/** Parses a request; `undefined` if a field is missing, has the wrong type or is out of range. */
+export function parseAllowanceRequest(payload: Buffer): AllowanceRequest | undefined {
+    const fields = payload.length > maxMessageBytes ? undefined : parseFields(payload);
+    const { node, configurationVersion } = fields ?? {};
+    const asks = parseList(fields?.asks, parseAsk);
+    return asks === undefined || !isName(node) || !isInRange(configurationVersion, Number.MAX_SAFE_INTEGER)
+        ? undefined
+        : { node, configurationVersion, asks };
+}
+
+/** Parses a reply; `undefined` if a field is missing, has the wrong type or is out of range. */
+export function parseAllowance(payload: Buffer): Allowance | undefined {
+    const fields = payload.length > maxMessageBytes ? undefined : parseFields(payload);
+    const grants = parseList(fields?.grants, parseGrant);
+    return grants === undefined ? undefined : { grants };
+}
+
+function parseList<Item>(value: unknown, parse: (item: unknown) => Item | undefined): Item[] | undefined {
+    if (!Array.isArray(value) || value.length > maxAsksPerRequest) {
+        return undefined;
+    }
+    const items = value.map(parse).filter(item => item !== undefined);
+    return items.length === value.length ? items : undefined;
+}
+
+function parseAsk(value: unknown): AllowanceAsk | undefined {
+    if (!isRecord(value) || !isRecord(value.limit)) {
+        return undefined;
+    }
+    const { organisation, tokens, demand, returned } = value;
+    const { callsPerSecond, burst } = value.limit;
+    return isName(organisation) && isTokenCount(tokens) && isTokenCount(returned)
+        && isInRange(demand, maxCallsPerSecond) && isInRange(callsPerSecond, maxCallsPerSecond) && callsPerSecond > 0
+        && isInRange(burst, maxCallsPerSecond)
+        ? { organisation, tokens, demand, returned, limit: { callsPerSecond, burst } }
+        : undefined;
+}
+
+function parseGrant(value: unknown): AllowanceGrant | undefined {
+    if (!isRecord(value) || !isName(value.organisation)) {
+        return undefined;
+    }
+    const { kind, organisation, tokens, validMs, pauseMs, retryAfterMs } = value;
+    if (kind === AllowanceGrantKind.Declined) {
+        return { kind, organisation };
+    }
+    return kind === AllowanceGrantKind.Granted && isTokenCount(tokens)
+        && isInRange(validMs, maxDelayMs) && isInRange(pauseMs, maxDelayMs) && isInRange(retryAfterMs, maxDelayMs)
+        ? { kind, organisation, tokens, validMs, pauseMs, retryAfterMs }
+        : undefined;
+}
+
+function isName(value: unknown): value is string {
+    return isText(value) && value.length <= maxNameLength;
+}
+
+function isTokenCount(value: unknown): value is number {
+    return Number.isInteger(value) && isInRange(value, maxTokensPerGrant);
+}
+
+function isInRange(value: unknown, maximum: number): value is number {
+    return isNumber(value) && value >= 0 && value <= maximum;
+}
--- a/protocol/forwarding/src/frames.ts
+++ b/protocol/forwarding/src/frames.ts
@@ -38,6 +38,10 @@
     Fetch = 15,
     /** The reply to `Fetch`. Payload: the output of `encodeContent`. */
     Content = 16,
+    /** Requests tokens for calls of organisations with a quota. Payload: `AllowanceRequest`. */
+    AllowanceRequest = 17,
+    /** The reply to `AllowanceRequest`, with its id. Payload: `Allowance`. */
+    Allowance = 18,
 }
 
 export interface Frame {
--- a/protocol/forwarding/src/index.ts
+++ b/protocol/forwarding/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./allowanceMessages";
 export * from "./frames";
 export * from "./messages";
 export * from "./relayMessages";
