Ask accounting nodes for tokens over the channel between nodes

Cause: the decisions of coordination/quotas had no frames, sockets or timers.

Without SidecarSettings.quota there is no task, timer or frame.

Replies now tell whether the replying node's own requests are answered, and only replies count as proof that a node responds. Cause: with connections broken in one direction only, the accounting node heard from the others and granted the whole rate while they used equal parts.

--- a/coordination/quotas/src/nodeContacts.ts
+++ b/coordination/quotas/src/nodeContacts.ts
@@ -29,7 +29,7 @@
 /** Delay between two checks of a node; doubles with each failure up to the maximum. */
 const minCheckIntervalMs: Milliseconds = 160;
 const maxCheckIntervalMs: Milliseconds = 1_000;
-/** Nodes of a zone that became silent, without a message of any other, after which the zone counts as cut off. */
+/** Nodes of a zone that became silent, without a reply of any other, after which the zone counts as cut off. */
 const silentNodesOfCutZone = 2;
 /** A node is checked for this long after a decision depended on it. */
 const wantedMs: Milliseconds = 2_000;
@@ -38,7 +38,12 @@
 
 interface Contact {
     readonly zone: string;
+    /** Time of the last request or reply of the node. */
     heardAt: Milliseconds;
+    repliedAt: Milliseconds;
+    /** Whether the requests of the node reach this one. */
+    reachesThisNode: boolean;
+    /** Requests of this node without a reply since the last reply. */
     failures: number;
     failedAt: Milliseconds;
     checkedAt: Milliseconds;
@@ -49,7 +54,7 @@
     private contacts = new Map<string, Contact>();
     private hashedNodes: readonly HashedNode[] = [];
     private readonly samples = new Map<string, string[]>();
-    /** Nodes of each zone that became silent since the last message from the zone. */
+    /** Nodes of each zone that became silent since the last reply from the zone. */
     private readonly silentByZone = new Map<string, number>();
     /** Counts the changes of `isResponding`, so that decisions are revised only after one. */
     private changeCount = 0;
@@ -91,13 +96,24 @@
         this.changeCount++;
     }
 
-    /** A message of the node arrived. */
-    recordHeard(node: string): void {
+    /** A request of the node arrived, which does not show that this node's requests reach it. */
+    recordRequest(node: string): void {
+        const contact = this.contacts.get(node);
+        if (contact !== undefined) {
+            contact.heardAt = this.options.clock.now();
+            contact.reachesThisNode = true;
+        }
+    }
+
+    /** The node replied to a request, and said whether its own requests reach this node. */
+    recordReply(node: string, reachesThisNode: boolean): void {
         const contact = this.contacts.get(node);
         if (contact !== undefined) {
             const isCutOff = this.isCutOff(contact.zone);
             this.changeCount += isCutOff || contact.failures >= maxFailures ? 1 : 0;
             contact.heardAt = this.options.clock.now();
+            contact.repliedAt = contact.heardAt;
+            contact.reachesThisNode = reachesThisNode;
             contact.failures = 0;
             this.silentByZone.delete(contact.zone);
             if (isCutOff) {
@@ -109,7 +125,7 @@
     /** A request that was sent at this time got no reply, or could not be sent. */
     recordFailure(node: string, sentAt: Milliseconds): void {
         const contact = this.contacts.get(node);
-        if (contact !== undefined && contact.heardAt <= sentAt) {
+        if (contact !== undefined && contact.repliedAt <= sentAt) {
             contact.failures++;
             contact.failedAt = this.options.clock.now();
             if (contact.failures === maxFailures) {
@@ -152,7 +168,8 @@
         for (const [node, contact] of this.contacts) {
             const { wantedUntil, heardAt, checkedAt, failures } = contact;
             const intervalMs = Math.min(maxCheckIntervalMs, minCheckIntervalMs * 2 ** Math.max(0, failures - 1));
-            if (wantedUntil > now && now - heardAt >= heardValidityMs && now - checkedAt >= intervalMs) {
+            const isKnown = failures === 0 && now - heardAt < heardValidityMs;
+            if (wantedUntil > now && !isKnown && now - checkedAt >= intervalMs) {
                 contact.checkedAt = now;
                 due.push(node);
             }
@@ -172,14 +189,15 @@
     computeRespondingShare(isSubstitute: boolean): number {
         const now = this.options.clock.now();
         const zones = new Map<string, { size: number; heard: number; silent: number }>();
-        for (const [node, { zone, heardAt, failures, failedAt }] of this.contacts) {
+        for (const [node, { zone, heardAt, reachesThisNode, failures, failedAt }] of this.contacts) {
             const count = zones.get(zone) ?? { size: 0, heard: 0, silent: 0 };
             zones.set(zone, count);
             count.size++;
-            if (node === this.options.node || (failures === 0 && now - heardAt < knownValidityMs)) {
+            const isHeard = failures === 0 && now - heardAt < knownValidityMs;
+            if (node === this.options.node || (isHeard && reachesThisNode)) {
                 count.heard++;
             }
-            else if (failures >= maxFailures && now - failedAt < knownValidityMs) {
+            else if (isHeard || (failures >= maxFailures && now - failedAt < knownValidityMs)) {
                 count.silent++;
             }
         }
@@ -207,5 +225,14 @@
 
 function createContact(zone: string): Contact {
     const never = Number.NEGATIVE_INFINITY;
-    return { zone, heardAt: never, failures: 0, failedAt: never, checkedAt: never, wantedUntil: never };
+    return {
+        zone,
+        heardAt: never,
+        repliedAt: never,
+        reachesThisNode: true,
+        failures: 0,
+        failedAt: never,
+        checkedAt: never,
+        wantedUntil: never,
+    };
 }
--- a/coordination/quotas/src/quotaNode.ts
+++ b/coordination/quotas/src/quotaNode.ts
@@ -39,6 +39,16 @@
     readonly message: AllowanceRequest;
 }
 
+/** Why a request got no reply. */
+export enum NoReplyCause {
+    /** The connection could not be established, or broke. */
+    Broken = "broken",
+    /** Nothing arrived from the node in time. */
+    Silent = "silent",
+    /** Something else arrived from the node in time. It is busy, and another accounting node would grant twice. */
+    Slow = "slow",
+}
+
 /** Receives the decision on a call that had to wait. */
 export type DecisionHandler = (decision: QuotaDecision) => void;
 
@@ -176,18 +186,19 @@
 
     /** Replies to a request of another node. */
     handleRequest({ node, configurationVersion, asks }: AllowanceRequest): Allowance {
-        this.contacts.recordHeard(node);
-        return { grants: asks.map(ask => this.answer(node, ask, configurationVersion)) };
+        this.contacts.recordRequest(node);
+        const grants = asks.map(ask => this.answer(node, ask, configurationVersion));
+        return { grants, reachesReceiver: this.contacts.isResponding(node) };
     }
 
     /** Handles the reply to a request; a second reply to the same request is ignored. */
-    handleReply(id: number, { grants }: Allowance): void {
+    handleReply(id: number, { grants, reachesReceiver }: Allowance): void {
         const pending = this.pendingRequests.get(id);
         if (pending === undefined) {
             return;
         }
         this.pendingRequests.delete(id);
-        this.contacts.recordHeard(pending.to);
+        this.contacts.recordReply(pending.to, reachesReceiver);
         const byOrganisation = new Map(grants.map(grant => [grant.organisation, grant]));
         for (const { organisation } of pending.asks) {
             this.organisationsInFlight.delete(organisation);
@@ -196,17 +207,19 @@
         }
     }
 
-    /** Handles the end of a request without a reply: it timed out, or its connection broke (`isBroken`). */
-    handleNoReply(id: number, isBroken: boolean): void {
+    /** Handles the end of a request without a reply. */
+    handleNoReply(id: number, cause: NoReplyCause): void {
         const pending = this.pendingRequests.get(id);
         if (pending === undefined) {
             return;
         }
         this.pendingRequests.delete(id);
-        this.contacts.recordFailure(pending.to, pending.sentAt);
+        if (cause !== NoReplyCause.Slow) {
+            this.contacts.recordFailure(pending.to, pending.sentAt);
+        }
         for (const { organisation } of pending.asks) {
             this.organisationsInFlight.delete(organisation);
-            if (!isBroken) {
+            if (cause !== NoReplyCause.Broken) {
                 this.allowances.markUnanswered(organisation);
                 this.takeWaiting(organisation, () => true)
                     .forEach(call => this.finish(call, this.allowances.decideByEqualPart(organisation)));
--- a/coordination/quotas/test/quotaLedger.test.ts
+++ b/coordination/quotas/test/quotaLedger.test.ts
@@ -191,7 +191,7 @@
 });
 
 describe("contacts", () => {
-    it("count a zone as cut off after two silent nodes, until one of its nodes is heard", () => {
+    it("count a zone as cut off after two silent nodes, until one of its nodes replies", () => {
         const clock = new ManualClock();
         const contacts = new NodeContacts({ clock, node: "a0" });
         contacts.setNodes(["a0", "a1", "b0", "b1", "b2", "b3"].map(node => ({ node, zone: node.slice(0, 1) })));
@@ -202,7 +202,9 @@
         contacts.recordFailure("b1", clock.now());
         expect(contacts.isResponding("b2")).toBe(false);
         expect(contacts.computeRespondingShare(false)).toBeCloseTo(1 / 3);
-        contacts.recordHeard("b3");
+        contacts.recordRequest("b3");
+        expect(contacts.isResponding("b2")).toBe(false);
+        contacts.recordReply("b3", true);
         expect(contacts.isResponding("b2")).toBe(true);
     });
 });
--- a/coordination/quotas/test/quotaPlay.ts
+++ b/coordination/quotas/test/quotaPlay.ts
@@ -6,6 +6,7 @@
 import { createSeededRandom, type Random } from "@bilberrycroft/core.random";
 import {
     hashNode,
+    NoReplyCause,
     type OutgoingRequest,
     type QuotaDecision,
     QuotaDecisionKind,
@@ -212,9 +213,9 @@
             }
         });
         this.countFrame(to);
-        this.later(replyTimeoutMs, () => ifSame(() => quota.handleNoReply(id, false)));
+        this.later(replyTimeoutMs, () => ifSame(() => quota.handleNoReply(id, NoReplyCause.Silent)));
         if (receiver.isDead) {
-            this.later(this.drawDelay(), () => ifSame(() => quota.handleNoReply(id, true)));
+            this.later(this.drawDelay(), () => ifSame(() => quota.handleNoReply(id, NoReplyCause.Broken)));
             return;
         }
         if (this.isCut(from, receiver)) {
--- a/daemons/node/src/calls/responses.ts
+++ b/daemons/node/src/calls/responses.ts
@@ -12,6 +12,7 @@
     [CallReason.NoRoute]: 404,
     [CallReason.TenantNotAllowed]: 403,
     [CallReason.RateLimited]: 429,
+    [CallReason.QuotaExceeded]: 429,
     [CallReason.NoTarget]: 503,
     [CallReason.Overloaded]: 503,
     [CallReason.DeadlinePassed]: 503,
--- a/daemons/sidecar/src/calls/callerCallTypes.ts
+++ b/daemons/sidecar/src/calls/callerCallTypes.ts
@@ -44,7 +44,10 @@
     readonly deadlineAt: Milliseconds;
     /** Whether a large response is expected. */
     readonly isBulk: boolean;
-    readonly offer: Pick<Offer, "route" | "priority" | "isInner" | "repeatable" | "callerService" | "callId" | "fingerprint">;
+    readonly offer: Pick<
+        Offer,
+        "route" | "priority" | "isInner" | "repeatable" | "callerService" | "callId" | "fingerprint" | "organisation"
+    >;
 }
 
 export interface CallEnd {
--- a/daemons/sidecar/src/calls/localResponses.ts
+++ b/daemons/sidecar/src/calls/localResponses.ts
@@ -20,6 +20,7 @@
     [CallReason.BadRequest]: 400,
     [CallReason.AnswerLost]: 502,
     [CallReason.TimedOut]: 504,
+    [CallReason.QuotaExceeded]: 429,
 };
 
 /** Callers honour `Retry-After` up to this part of their remaining time. */
--- a/daemons/sidecar/src/metrics.ts
+++ b/daemons/sidecar/src/metrics.ts
@@ -1,3 +1,4 @@
+import type { QuotaCounts } from "@bilberrycroft/coordination.quotas";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import { CallOutcome, type CallReason } from "@bilberrycroft/protocol.calls";
 import { LatencyHistogram } from "@bilberrycroft/state.histograms";
@@ -60,6 +61,25 @@
     }
 }
 
+/** What the metrics show of the quotas. */
+export interface QuotaMetrics {
+    readonly counts: QuotaCounts;
+    readonly heldTokens: number;
+    readonly oldestTokenAgeMs: Milliseconds;
+    readonly accounts: number;
+}
+
+export function createQuotaGauges(quotas: QuotaMetrics): readonly Gauge[] {
+    return [
+        { name: "quota_admitted", help: "Calls with a quota admitted since the start.", read: () => quotas.counts.admitted },
+        { name: "quota_refused_over_limit", help: "Calls refused over the limit since the start.", read: () => quotas.counts.refusedOverLimit },
+        { name: "quota_refused_without_reply", help: "Calls refused because the accounting node did not reply and the equal part was used up.", read: () => quotas.counts.refusedWithoutReply },
+        { name: "quota_tokens_held", help: "Unexpired tokens of all organisations.", read: () => quotas.heldTokens },
+        { name: "quota_token_age_ms", help: "Time since the request for the oldest unexpired tokens.", read: () => Math.round(quotas.oldestTokenAgeMs) },
+        { name: "quota_accounts", help: "Organisations whose accounting node this node is.", read: () => quotas.accounts },
+    ];
+}
+
 function renderSummary(service: string, histogram: LatencyHistogram): string[] {
     const { count, p50Ms, p90Ms, p99Ms, maxMs } = histogram.summarize();
     const quantiles: readonly (readonly [string, Milliseconds])[] = [["0.5", p50Ms], ["0.9", p90Ms], ["0.99", p99Ms], ["1", maxMs]];
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -20,7 +20,7 @@
     ResponsePacer,
     startOfferListener,
 } from "@bilberrycroft/transport.forwarding";
-import { CallMetrics } from "./metrics";
+import { CallMetrics, createQuotaGauges } from "./metrics";
 import { NodeTable } from "./nodeTable";
 import type { MeshPlatform } from "./ports";
 import type { SidecarSettings } from "./settings";
@@ -28,6 +28,7 @@
 import { type CollectionContent, CollectionTask } from "./tasks/collectionTask";
 import { ConfigurationTask } from "./tasks/configurationTask";
 import { ProbeTask } from "./tasks/probeTask";
+import { declineAllowances, QuotaTask } from "./tasks/quotaTask";
 import { RegistrationTask } from "./tasks/registrationTask";
 import { RelayTask } from "./tasks/relayTask";
 import { TargetTask } from "./tasks/targetTask";
@@ -80,6 +81,8 @@
     private readonly targetTask: TargetTask;
     private readonly probeTask: ProbeTask;
     private readonly relayTask: RelayTask;
+    /** `undefined` if the deployment has no quotas. */
+    private readonly quotaTask: QuotaTask | undefined;
     private readonly nodeTable = new NodeTable();
     private callerListener: Listener | undefined;
     private offerListener: OfferListener | undefined;
@@ -130,6 +133,7 @@
             log,
         });
         this.targetTask = this.createTargetTask(localTarget);
+        this.quotaTask = this.createQuotaTask();
         this.callerTask = this.createCallerTask();
         this.probeTask = new ProbeTask({
             directory,
@@ -168,6 +172,7 @@
             handleOffer: offer => this.targetTask.handleOffer(offer),
             handleFault: this.handleFrameFault,
             createReport: () => this.targetTask.createReport(""),
+            handleAllowanceRequest: request => this.quotaTask?.handleRequest(request) ?? declineAllowances(request),
             onFollowerConnected: follower => this.relayTask.addFollower(follower),
             onFollowerDisconnected: follower => this.relayTask.removeFollower(follower),
             getContent: request => this.relayTask.getContent(request),
@@ -204,6 +209,7 @@
             { name: "target_calls_sent", help: "Calls sent to the target since the start.", read: () => this.targetTask.sentCalls },
             { name: "target_request_limit", help: "Calls per second that the target accepts; 0 without a limit.", read: () => this.targetTask.requestLimit },
             { name: "buffered_bytes", help: "Bytes of requests and responses held for callers.", read: () => this.bufferBudget.used },
+            ...this.quotaTask === undefined ? [] : createQuotaGauges(this.quotaTask),
             { name: "faults_confined", help: "Exceptions confined to what caused them.", read: () => this.faults.count },
             { name: "log_lines_dropped", help: "Log lines dropped.", read: () => this.options.log.dropped },
         ]);
@@ -252,6 +258,14 @@
         });
     }
 
+    private createQuotaTask(): QuotaTask | undefined {
+        const { settings: { node, quota }, log } = this.options;
+        const { clock, random, peerClient: client, faults } = this;
+        return quota === undefined
+            ? undefined
+            : new QuotaTask({ clock, random, node, settings: quota, client, log, faults });
+    }
+
     private createCallerTask(): CallerTask {
         const { settings, platform, log } = this.options;
         const { clock, random, directory, quarantine, metrics } = this;
@@ -267,6 +281,7 @@
             quarantine,
             metrics,
             budgets: this.retryBudgets,
+            quotas: this.quotaTask,
             findRunningCall: callId => this.targetTask.findRunningCall(callId),
             service: settings.service,
             getLocalVersions: () => this.getLocalVersions(),
@@ -282,6 +297,7 @@
             this.configurationTask.handleContent(content)));
         this.configurationTask.activations.subscribe(guard("activation", table => {
             this.callerTask.activate(table);
+            this.quotaTask?.setConfiguration(table.configuration);
             this.callerListener?.setIdleTimeout(table.configuration.callerLimits.idleTimeoutMs);
             this.relayTask.handleVersionChange();
         }));
@@ -296,6 +312,7 @@
         crashes.forEach(({ node, crashes: added }) => this.mergeCrashes(node, added));
         this.directory.setEntries(entries);
         this.relayTask.setNodes(entries);
+        this.quotaTask?.setNodes(entries);
         this.relayTask.handleVersionChange();
         this.peerClient.retainNodes(new Set(entries.map(({ address }) => address)));
         this.options.log.info("nodes-changed", { nodes: entries.length, revision: this.nodeCollection.newestRevision });
@@ -361,6 +378,7 @@
         this.relayTask.stop();
         this.targetTask.stop();
         this.probeTask.stop();
+        this.quotaTask?.stop();
         this.peerClient.close();
         this.pacer.close();
         this.targetClient.close();
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -13,6 +13,7 @@
     WeightedRoundRobin,
 } from "@bilberrycroft/coordination.forwarding";
 import { type Quarantine, QuarantineDecisionKind } from "@bilberrycroft/coordination.quarantine";
+import { type QuotaDecision, QuotaDecisionKind } from "@bilberrycroft/coordination.quotas";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import type { Random } from "@bilberrycroft/core.random";
 import { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
@@ -31,12 +32,19 @@
     readonly budgets: RetryBudgets;
     readonly quarantine: Quarantine;
     readonly metrics: CallMetrics;
+    /** Decides on calls of organisations; `undefined` if the deployment has no quotas. */
+    readonly quotas: CallQuotas | undefined;
     /** Returns the call with this identifier if it is running in the local target. */
     findRunningCall(callId: string): Offer | undefined;
     /** Service of the local target. */
     readonly service: string;
 }
 
+/** Limits on the calls of organisations over all nodes. */
+export interface CallQuotas {
+    acquire(organisation: string): QuotaDecision | Promise<QuotaDecision>;
+}
+
 /** Time reserved for sending the response before the caller's timeout. */
 const deadlineMarginMs: Milliseconds = 10;
 /** Maximum time for which a caller waits; also used if the caller does not send its wait time. */
@@ -161,6 +169,9 @@
             sendLocalResponse(response, options.codec, { callId: head.callId, reason, retryAfterMs });
             return;
         }
+        if (options.quotas !== undefined && !await this.isWithinQuota(options.quotas, call)) {
+            return;
+        }
         const services: PlanDependencies = {
             clock: options.clock,
             directory: options.directory,
@@ -179,6 +190,29 @@
         this.recordEnd(call, service, end);
     }
 
+    /**
+     * Whether the organisation of the call has room for it; otherwise the call is refused. Inner calls do not count,
+     * because their parent did.
+     */
+    private async isWithinQuota(quotas: CallQuotas, { offer, response, callId }: AcceptedCall): Promise<boolean> {
+        const { codec, metrics } = this.options;
+        const { organisation, isInner } = offer;
+        if (organisation === undefined || isInner) {
+            return true;
+        }
+        const acquired = quotas.acquire(organisation);
+        const decision = acquired instanceof Promise ? await acquired : acquired;
+        if (decision.kind === QuotaDecisionKind.Admitted) {
+            // The caller may have disconnected while the call waited.
+            return !response.destroyed;
+        }
+        const { retryAfterMs } = decision;
+        const reason = CallReason.QuotaExceeded;
+        metrics.recordRefusal(reason);
+        sendLocalResponse(response, codec, { callId, reason, retryAfterMs });
+        return false;
+    }
+
     private createCall({ request, response, head, route, table, body, startedAt }: ReceivedCall): AcceptedCall {
         const { options } = this;
         const waitMs = Math.min(head.waitMs ?? maxWaitMs, maxWaitMs);
--- a/protocol/calls/src/index.ts
+++ b/protocol/calls/src/index.ts
@@ -46,6 +46,8 @@
     NoRoute = "no-route",
     TenantNotAllowed = "tenant-not-allowed",
     RateLimited = "rate-limited",
+    /** The organisation has used up its calls over all nodes. */
+    QuotaExceeded = "quota-exceeded",
     NoTarget = "no-target",
     Overloaded = "overloaded",
     DeadlinePassed = "deadline-passed",
--- a/protocol/forwarding/src/allowanceMessages.ts
+++ b/protocol/forwarding/src/allowanceMessages.ts
@@ -58,6 +58,8 @@
 /** Reply to `AllowanceRequest`. */
 export interface Allowance {
     readonly grants: readonly AllowanceGrant[];
+    /** Whether requests of the replying node to the receiver of the reply are answered, as far as it knows. */
+    readonly reachesReceiver: boolean;
 }
 
 /** Maximum organisations in one message. */
@@ -85,7 +87,8 @@
 export function parseAllowance(payload: Buffer): Allowance | undefined {
     const fields = payload.length > maxMessageBytes ? undefined : parseFields(payload);
     const grants = parseList(fields?.grants, parseGrant);
-    return grants === undefined ? undefined : { grants };
+    const reachesReceiver = fields?.reachesReceiver;
+    return grants === undefined || typeof reachesReceiver !== "boolean" ? undefined : { grants, reachesReceiver };
 }
 
 function parseList<Item>(value: unknown, parse: (item: unknown) => Item | undefined): Item[] | undefined {
--- a/protocol/forwarding/test/frames.test.ts
+++ b/protocol/forwarding/test/frames.test.ts
@@ -1,4 +1,17 @@
-import { encodeFrame, encodeMessage, FrameKind, FrameReader, parseLoss, parseNodeEntry, parseNodeReport, parseOfferMessage, parseRefusal, parseResponseHead } from "@bilberrycroft/protocol.forwarding";
+import {
+    encodeFrame,
+    encodeMessage,
+    FrameKind,
+    FrameReader,
+    parseAllowance,
+    parseAllowanceRequest,
+    parseLoss,
+    parseNodeEntry,
+    parseNodeReport,
+    parseOfferMessage,
+    parseRefusal,
+    parseResponseHead,
+} from "@bilberrycroft/protocol.forwarding";
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
 
@@ -32,7 +45,15 @@
 });
 
 describe("messages from other processes", () => {
-    const parsers = { parseOfferMessage, parseRefusal, parseLoss, parseResponseHead, parseNodeReport };
+    const parsers = {
+        parseOfferMessage,
+        parseRefusal,
+        parseLoss,
+        parseResponseHead,
+        parseNodeReport,
+        parseAllowance,
+        parseAllowanceRequest,
+    };
     it.each(Object.entries(parsers))("are rejected by %s without an exception if they are malformed", (_name, parse) => {
         fc.assert(fc.property(fc.jsonValue(), value => {
             const frame = encodeMessage(FrameKind.Offer, 1, value);
--- a/transport/forwarding/src/offerListener.ts
+++ b/transport/forwarding/src/offerListener.ts
@@ -4,6 +4,8 @@
 import { createServer, type Socket } from "node:net";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import {
+    type Allowance,
+    type AllowanceRequest,
     type ResponseHead,
     type ContentRequest,
     encodeFrame,
@@ -13,6 +15,7 @@
     type Loss,
     type NodeReport,
     type OfferMessage,
+    parseAllowanceRequest,
     parseContentRequest,
     parseOfferMessage,
     type PeerState,
@@ -58,6 +61,8 @@
     handleFault: FrameFaultHandler;
     /** Creates the report for a node that requests it without making a call. */
     createReport(): NodeReport;
+    /** Replies to a request for tokens of organisations with a quota. */
+    handleAllowanceRequest(request: AllowanceRequest): Allowance;
     /** Called when another node subscribes to the state of this node. */
     onFollowerConnected(follower: Follower): void;
     /** Called when the connection of a follower has ended. */
@@ -145,6 +150,15 @@
             case FrameKind.ReportRequest:
                 this.connection.send(encodeMessage(FrameKind.Report, id, this.options.createReport()));
                 return;
+            case FrameKind.AllowanceRequest: {
+                const request = parseAllowanceRequest(payload);
+                if (request === undefined) {
+                    return this.close();
+                }
+                const allowance = this.options.handleAllowanceRequest(request);
+                this.connection.send(encodeMessage(FrameKind.Allowance, id, allowance));
+                return;
+            }
             case FrameKind.Follow:
                 return this.handleFollow();
             case FrameKind.Fetch: {
--- a/transport/forwarding/src/peerClient.ts
+++ b/transport/forwarding/src/peerClient.ts
@@ -5,6 +5,8 @@
 import { connect } from "node:net";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import {
+    type Allowance,
+    type AllowanceRequest,
     type ResponseHead,
     encodeFrame,
     encodeMessage,
@@ -13,6 +15,7 @@
     type Loss,
     type NodeReport,
     type OfferMessage,
+    parseAllowance,
     parseLoss,
     parseNodeReport,
     parseRefusal,
@@ -56,6 +59,20 @@
     hasReceivedFrame(): boolean;
 }
 
+export enum AllowanceOutcomeKind {
+    Received = "received",
+    /** The connection could not be established, or broke before the reply. */
+    Broken = "broken",
+    /** Nothing at all arrived from the node in time. */
+    Silent = "silent",
+    /** Other frames arrived from the node in time. */
+    Slow = "slow",
+}
+
+export type AllowanceOutcome =
+    | { readonly kind: AllowanceOutcomeKind.Received; readonly allowance: Allowance }
+    | { readonly kind: Exclude<AllowanceOutcomeKind, AllowanceOutcomeKind.Received> };
+
 /** Connections to other nodes. */
 export class PeerClient {
     private readonly channels = new Map<string, Channel>();
@@ -66,6 +83,11 @@
         return this.getChannel(address, isBulk).offer(message, observer);
     }
 
+    /** Requests tokens for calls of organisations with a quota. */
+    requestAllowance(address: string, request: AllowanceRequest, timeoutMs: Milliseconds): Promise<AllowanceOutcome> {
+        return this.getChannel(address, false).requestAllowance(request, timeoutMs);
+    }
+
     /** Requests a node's report over a new connection; resolves to `undefined` if the node does not respond in time. */
     requestReport(address: string, timeoutMs: Milliseconds): Promise<NodeReport | undefined> {
         return new Promise(resolve => {
@@ -88,7 +110,7 @@
         }
     }
 
-    /** Closes the connections to nodes that are not listed, each as soon as no offer is in progress on it. */
+    /** Closes the connections to nodes that are not listed, each as soon as nothing is in progress on it. */
     retainNodes(addresses: ReadonlySet<string>): void {
         for (const [key, channel] of this.channels) {
             if (!addresses.has(channel.address)) {
@@ -128,6 +150,7 @@
 class Channel {
     private readonly connection: FrameConnection;
     private readonly observers = new Map<number, OfferObserver>();
+    private readonly allowanceRequests = new Map<number, (outcome: AllowanceOutcome) => void>();
     private onReport: ((report: NodeReport | undefined) => void) | undefined;
     private lastOfferId = 0;
     private framesReceived = 0;
@@ -160,12 +183,27 @@
         };
     }
 
+    requestAllowance(request: AllowanceRequest, timeoutMs: Milliseconds): Promise<AllowanceOutcome> {
+        const id = ++this.lastOfferId;
+        const receivedBefore = this.framesReceived;
+        return new Promise(resolve => {
+            const timer = setTimeout(() => this.endAllowanceRequest(id, {
+                kind: this.framesReceived > receivedBefore ? AllowanceOutcomeKind.Slow : AllowanceOutcomeKind.Silent,
+            }), timeoutMs);
+            this.allowanceRequests.set(id, outcome => {
+                clearTimeout(timer);
+                resolve(outcome);
+            });
+            this.connection.send(encodeMessage(FrameKind.AllowanceRequest, id, request));
+        });
+    }
+
     requestReport(callback: (report: NodeReport | undefined) => void): void {
         this.onReport = callback;
         this.connection.send(encodeFrame(FrameKind.ReportRequest, 0));
     }
 
-    /** Closes the connection as soon as no offer is in progress on it. */
+    /** Closes the connection as soon as nothing is in progress on it. */
     retire(): void {
         this.isRetired = true;
         this.closeIfIdle();
@@ -199,6 +237,12 @@
                 return this.endOffer(offerId, true, () => observer?.onResponseEnd());
             case FrameKind.Report:
                 return this.onReport?.(parseNodeReport(payload));
+            case FrameKind.Allowance: {
+                const allowance = parseAllowance(payload);
+                return allowance === undefined
+                    ? this.close()
+                    : this.endAllowanceRequest(offerId, { kind: AllowanceOutcomeKind.Received, allowance });
+            }
             default:
                 // A kind from a newer protocol version, or one that only the caller's node sends.
                 return this.close();
@@ -214,6 +258,15 @@
         this.closeIfIdle();
     }
 
+    /** Ends a request for tokens; a reply to a request that has ended is ignored. */
+    private endAllowanceRequest(id: number, outcome: AllowanceOutcome): void {
+        const end = this.allowanceRequests.get(id);
+        if (this.allowanceRequests.delete(id)) {
+            end?.(outcome);
+            this.closeIfIdle();
+        }
+    }
+
     /** Ends an offer whose response cannot be used; other offers on the connection continue. */
     private abandonOffer(offerId: number, reason: string): void {
         const observer = this.observers.get(offerId);
@@ -225,7 +278,7 @@
     }
 
     private closeIfIdle(): void {
-        if (this.isRetired && this.observers.size === 0) {
+        if (this.isRetired && this.observers.size === 0 && this.allowanceRequests.size === 0) {
             this.connection.socket.end();
         }
     }
@@ -236,5 +289,7 @@
         const observers = [...this.observers.values()];
         this.observers.clear();
         observers.forEach(observer => observer.onBroken(reason));
+        [...this.allowanceRequests.keys()]
+            .forEach(id => this.endAllowanceRequest(id, { kind: AllowanceOutcomeKind.Broken }));
     }
 }
--- a/transport/forwarding/test/offerListener.test.ts
+++ b/transport/forwarding/test/offerListener.test.ts
@@ -91,6 +91,7 @@
                 throw error;
             },
             createReport: () => report,
+            handleAllowanceRequest: () => ({ grants: [], reachesReceiver: true }),
             onFollowerConnected: () => undefined,
             onFollowerDisconnected: () => undefined,
             getContent: () => Buffer.alloc(0),
