Keep a distance to the bound while a zone is cut off

The accounting node counted the nodes of the lost zone as responding for 1.5 s, because their last requests had just arrived, and granted their parts.

Ruled out by trials: paying for a larger share in advance (no difference); taking back what was granted in place of lost nodes alone (no difference, because the share fell in small steps).

Change: nodes of a zone that counts as cut off count as silent in the share; the ledger takes back what it granted in their place in the 600 ms before the loss was noticed, as far as it exceeds half of the reserve; nodes are checked when they were not heard for 200 ms instead of 500.

--- a/coordination/quotas/src/nodeContacts.ts
+++ b/coordination/quotas/src/nodeContacts.ts
@@ -23,7 +23,7 @@
 /** Requests without a reply after which a node counts as silent. One may be lost to a pause or a broken connection. */
 const maxFailures = 2;
 /** A node that was heard from within this time needs no check. */
-const heardValidityMs: Milliseconds = 500;
+const heardValidityMs: Milliseconds = 200;
 /** Time after which silence of a checked node says nothing about the present. */
 const knownValidityMs: Milliseconds = 1_500;
 /** Delay between two checks of a node; doubles with each failure up to the maximum. */
@@ -193,11 +193,13 @@
             const count = zones.get(zone) ?? { size: 0, heard: 0, silent: 0 };
             zones.set(zone, count);
             count.size++;
-            const isHeard = failures === 0 && now - heardAt < knownValidityMs;
+            // Nodes of a zone that has just been cut off sent their last requests a moment ago.
+            const isCutOff = this.isCutOff(zone);
+            const isHeard = !isCutOff && failures === 0 && now - heardAt < knownValidityMs;
             if (node === this.options.node || (isHeard && reachesThisNode)) {
                 count.heard++;
             }
-            else if (isHeard || (failures >= maxFailures && now - failedAt < knownValidityMs)) {
+            else if (isCutOff || isHeard || (failures >= maxFailures && now - failedAt < knownValidityMs)) {
                 count.silent++;
             }
         }
--- a/coordination/quotas/src/quotaLedger.ts
+++ b/coordination/quotas/src/quotaLedger.ts
@@ -44,7 +44,7 @@
 const tightShare = 0.5;
 /** Demand that a grant covers in advance, as a share of the lifetime of tokens. */
 const wellFilledPrefetchShare = 0.8;
-const tightPrefetchShare = 0.2;
+const tightPrefetchShare = 0.1;
 /** Refused nodes ask again after this time for each node that asks, which bounds the requests to about 500 a second. */
 const pausePerAskerMs: Milliseconds = 2;
 const minPauseMs: Milliseconds = 10;
@@ -55,6 +55,10 @@
 const lotResolutionMs: Milliseconds = 30;
 /** A rate may be as low as one call in hours; callers are not told to wait longer than this. */
 const maxRetryAfterMs: Milliseconds = 60_000;
+/** Time until the loss of a zone is noticed: two checks without a reply, and the time until the first. */
+const noticeMs: Milliseconds = 600;
+/** Part of the reserve that pays for what was granted before a loss was noticed; the change of nodes needs the rest. */
+const coveredReserveShare = 0.5;
 /** Part of the reserve that may be granted each second although some nodes do not respond. */
 const reserveSharePerSecond = 0.03;
 
@@ -73,6 +77,8 @@
 interface Account {
     limit: QuotaLimit;
     isSubstitute: boolean;
+    /** Share of the nodes to which this ledger grants. */
+    share: number;
     tokens: number;
     refilledAt: Milliseconds;
     /** Tokens that may still be used. */
@@ -119,9 +125,10 @@
             if (this.accounts.size >= maxAccounts) {
                 return false;
             }
-            const tokens = this.computeInitialTokens(limit, isSubstitute);
             const refilledAt = this.options.clock.now();
-            const account = { limit, isSubstitute, tokens, refilledAt, outstanding: [], askers: new Map() };
+            const share = this.options.respondingShare(isSubstitute);
+            const tokens = computeInitialTokens(limit, this.options.bound, share);
+            const account = { limit, isSubstitute, share, tokens, refilledAt, outstanding: [], askers: new Map() };
             this.accounts.set(organisation, account);
             return true;
         }
@@ -177,16 +184,12 @@
         }
     }
 
-    private computeInitialTokens(limit: QuotaLimit, isSubstitute: boolean): number {
-        return computeInitialTokens(limit, this.options.bound, this.options.respondingShare(isSubstitute));
-    }
-
     /** Begins all accounts anew if this node did not run for longer than others wait for it. */
     private detectGap(): void {
         const now = this.options.clock.now();
         if (now - this.activeAt > maxGapMs) {
             for (const account of this.accounts.values()) {
-                const initial = this.computeInitialTokens(account.limit, account.isSubstitute);
+                const initial = computeInitialTokens(account.limit, this.options.bound, account.share);
                 account.tokens = Math.min(account.tokens, initial);
                 account.refilledAt = now;
                 account.askers.clear();
@@ -197,6 +200,9 @@
 
     private refill(account: Account): void {
         const now = this.options.clock.now();
+        if (this.limitsShare(account)) {
+            this.updateShare(account);
+        }
         const earned = (now - account.refilledAt) * this.computeRate(account) / millisecondsPerSecond;
         account.tokens = Math.max(account.tokens, Math.min(this.computeRoom(account), account.tokens + earned));
         account.refilledAt = now;
@@ -219,12 +225,24 @@
     /** Calls per second for the nodes that respond; those that do not use their parts of the rate by themselves. */
     private computeRate(account: Account): number {
         const { callsPerSecond } = account.limit;
-        if (!account.isSubstitute && !(this.isAccountTight(account) && this.exceedsReserve(account))) {
+        if (!this.limitsShare(account)) {
             return callsPerSecond;
         }
         const reserve = computeReserve(account.limit, this.options.bound);
-        const share = this.options.respondingShare(account.isSubstitute);
-        return Math.min(callsPerSecond, share * callsPerSecond + reserveSharePerSecond * reserve);
+        return Math.min(callsPerSecond, account.share * callsPerSecond + reserveSharePerSecond * reserve);
+    }
+
+    private limitsShare(account: Account): boolean {
+        return account.isSubstitute || (this.isAccountTight(account) && this.exceedsReserve(account));
+    }
+
+    /** After a loss of nodes, takes back what was granted in their place before the loss was noticed. */
+    private updateShare(account: Account): void {
+        const { limit, share: previous, isSubstitute } = account;
+        account.share = this.options.respondingShare(isSubstitute);
+        const unnoticed = (previous - account.share) * limit.callsPerSecond * noticeMs / millisecondsPerSecond;
+        const coveredByReserve = coveredReserveShare * computeReserve(limit, this.options.bound);
+        account.tokens -= Math.max(0, unnoticed - coveredByReserve);
     }
 
     /** Whether the calls of the cut-off nodes in one window may exceed the reserve for failures. */
--- a/daemons/node/test/faultMatrix/oddInputs.ts
+++ b/daemons/node/test/faultMatrix/oddInputs.ts
@@ -18,6 +18,8 @@
 /** The entries and heartbeats that the test file plays. */
 const otherWriterInputs = "platform/soak/otherWriters.ts";
 const messages = "protocol/forwarding/test/messages.test.ts";
+const quotaPlay = "coordination/quotas/test/quotaPlay.test.ts";
+const quotaTask = "platform/test/quotaTask.test.ts";
 const silentLink = "platform/test/silentLink.test.ts";
 
 function createInput(from: string, input: string, file: string, test: string): OddInput {
@@ -53,4 +55,10 @@
     createInput("other node", "any value in any field", messages, "with any value in any place"),
     createInput("other node", "connection that falls silent for good", silentLink, "for good (%s)"),
     createInput("other node", "frozen while a response is streamed", silentLink, "ends the response at the timeout of the route"),
+    createInput("other node", "odd field in a message about quotas", "protocol/forwarding/test/allowanceMessages.test.ts", "is refused as a whole if any field is missing"),
+    createInput("other node", "accounting node dies while calls wait", quotaTask, "decide all waiting calls when the accounting node dies"),
+    createInput("other node", "accounting node cut off, its frames arrive late", quotaTask, "keep the bound while the accounting node is cut off"),
+    createInput("other node", "no reply to requests for tokens", quotaTask, "let a node whose requests get no reply use its equal part"),
+    createInput("other node", "accounting node frozen, restarted alone or with all others", quotaPlay, "whose accounting node is %s"),
+    createInput("other node", "zone cut off while an organisation is over its quota", quotaPlay, "stay within the bound while a zone is cut off for 5 s"),
 ];
--- a/daemons/sidecar/src/calls/localResponses.ts
+++ b/daemons/sidecar/src/calls/localResponses.ts
@@ -16,11 +16,11 @@
 
 const notRunStatus = 503;
 const statusByReason: Partial<Record<CallReason, number>> = {
+    [CallReason.QuotaExceeded]: 429,
     [CallReason.NoRoute]: 404,
     [CallReason.BadRequest]: 400,
     [CallReason.AnswerLost]: 502,
     [CallReason.TimedOut]: 504,
-    [CallReason.QuotaExceeded]: 429,
 };
 
 /** Callers honour `Retry-After` up to this part of their remaining time. */
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -190,29 +190,6 @@
         this.recordEnd(call, service, end);
     }
 
-    /**
-     * Whether the organisation of the call has room for it; otherwise the call is refused. Inner calls do not count,
-     * because their parent did.
-     */
-    private async isWithinQuota(quotas: CallQuotas, { offer, response, callId }: AcceptedCall): Promise<boolean> {
-        const { codec, metrics } = this.options;
-        const { organisation, isInner } = offer;
-        if (organisation === undefined || isInner) {
-            return true;
-        }
-        const acquired = quotas.acquire(organisation);
-        const decision = acquired instanceof Promise ? await acquired : acquired;
-        if (decision.kind === QuotaDecisionKind.Admitted) {
-            // The caller may have disconnected while the call waited.
-            return !response.destroyed;
-        }
-        const { retryAfterMs } = decision;
-        const reason = CallReason.QuotaExceeded;
-        metrics.recordRefusal(reason);
-        sendLocalResponse(response, codec, { callId, reason, retryAfterMs });
-        return false;
-    }
-
     private createCall({ request, response, head, route, table, body, startedAt }: ReceivedCall): AcceptedCall {
         const { options } = this;
         const waitMs = Math.min(head.waitMs ?? maxWaitMs, maxWaitMs);
@@ -256,6 +233,29 @@
         };
     }
 
+    /**
+     * Whether the organisation of the call has room for it; otherwise the call is refused. Inner calls do not count,
+     * because their parent did.
+     */
+    private async isWithinQuota(quotas: CallQuotas, { offer, response, callId }: AcceptedCall): Promise<boolean> {
+        const { codec, metrics } = this.options;
+        const { organisation, isInner } = offer;
+        if (organisation === undefined || isInner) {
+            return true;
+        }
+        const acquired = quotas.acquire(organisation);
+        const decision = acquired instanceof Promise ? await acquired : acquired;
+        if (decision.kind === QuotaDecisionKind.Admitted) {
+            // The caller may have disconnected while the call waited.
+            return !response.destroyed;
+        }
+        const { retryAfterMs } = decision;
+        const reason = CallReason.QuotaExceeded;
+        metrics.recordRefusal(reason);
+        sendLocalResponse(response, codec, { callId, reason, retryAfterMs });
+        return false;
+    }
+
     private recordEnd(call: AcceptedCall, service: string, end: CallEnd): void {
         const { clock, log, metrics } = this.options;
         const latencyMs = clock.now() - call.startedAt;
