--- a/daemons/node/test/faultMatrix/oddInputs.ts
+++ b/daemons/node/test/faultMatrix/oddInputs.ts
@@ -18,9 +18,9 @@
 /** The entries and heartbeats that the test file plays. */
 const otherWriterInputs = "platform/soak/otherWriters.ts";
 const messages = "protocol/forwarding/test/messages.test.ts";
+const silentLink = "platform/test/silentLink.test.ts";
 const quotaPlay = "coordination/quotas/test/quotaPlay.test.ts";
 const quotaTask = "platform/test/quotaTask.test.ts";
-const silentLink = "platform/test/silentLink.test.ts";
 
 function createInput(from: string, input: string, file: string, test: string): OddInput {
     return { from, input, file, test };
