Tell refused callers a time at which there is room

Cause: a call refused just before the end of its node's pause got Retry-After 0.000, and under overload the time until the next token, for which all nodes compete.

Change: at least 10 ms; and while the demand of the asking nodes exceeds the rate, the pause times their ratio.

--- a/coordination/quotas/src/quotaAllowances.ts
+++ b/coordination/quotas/src/quotaAllowances.ts
@@ -54,6 +54,7 @@
 const equalPartCalls = 1;
 const equalPartBurstMs: Milliseconds = 200;
 const maxRetryAfterMs: Milliseconds = 60_000;
+/** A shorter delay may be rounded to none, and there would hardly be room. */
 const minRetryAfterMs: Milliseconds = 10;
 
 interface TokenLot {
@@ -135,7 +136,7 @@
         }
         const now = this.options.clock.now();
         if (now < allowance.pausedUntil) {
-            const retryAfterMs = Math.max(allowance.roomAt, allowance.pausedUntil) - now;
+            const retryAfterMs = Math.max(minRetryAfterMs, Math.max(allowance.roomAt, allowance.pausedUntil) - now);
             return { kind: QuotaDecisionKind.Refused, cause: QuotaRefusalCause.OverLimit, retryAfterMs };
         }
         return allowance.isUnanswered ? this.decideByEqualPart(organisation) : undefined;
--- a/coordination/quotas/src/quotaLedger.ts
+++ b/coordination/quotas/src/quotaLedger.ts
@@ -70,6 +70,8 @@
 
 interface Asker {
     readonly askedAt: Milliseconds;
+    /** Calls per second at the node. */
+    readonly demand: number;
     /** Tokens that have not expired; the node may have used them already. */
     readonly lots: GrantedLot[];
 }
@@ -160,14 +162,22 @@
         const available = Math.max(0, Math.floor(account.tokens));
         const tokens = Math.min(available, asked + prefetched, maxTokensPerGrant);
         account.tokens -= tokens;
-        this.recordAsker(account, node, { askedAt: now, lots: addLot(lots, { tokens, expiresAt: now + validMs }) });
-        account.outstanding = addLot(account.outstanding, { tokens, expiresAt: now + validMs });
+        const lot = { tokens, expiresAt: now + validMs };
+        this.recordAsker(account, node, { askedAt: now, demand, lots: addLot(lots, lot) });
+        account.outstanding = addLot(account.outstanding, lot);
         if (tokens >= asked) {
             return { tokens, validMs, pauseMs: 0, retryAfterMs: 0 };
         }
         const pauseMs = Math.min(maxPauseMs, Math.max(minPauseMs, pausePerAskerMs * account.askers.size));
-        const untilRoomMs = (1 - account.tokens) / account.limit.callsPerSecond * millisecondsPerSecond;
-        return { tokens, validMs, pauseMs, retryAfterMs: Math.min(maxRetryAfterMs, Math.max(pauseMs, untilRoomMs)) };
+        const retryAfterMs = Math.min(maxRetryAfterMs, this.estimateRoomMs(account, pauseMs));
+        return { tokens, validMs, pauseMs, retryAfterMs };
+    }
+
+    /** Time until a refused call may expect room: after the pause, all nodes ask for the calls that arrive in it. */
+    private estimateRoomMs({ tokens, limit, askers }: Account, pauseMs: Milliseconds): Milliseconds {
+        const demand = [...askers.values()].reduce((sum, asker) => sum + asker.demand, 0);
+        const untilTokenMs = (1 - tokens) / limit.callsPerSecond * millisecondsPerSecond;
+        return Math.max(untilTokenMs, pauseMs * Math.max(1, demand / limit.callsPerSecond));
     }
 
     /** Refills all buckets and drops the nodes that no longer ask. */
--- a/coordination/quotas/test/quotaLedger.test.ts
+++ b/coordination/quotas/test/quotaLedger.test.ts
@@ -135,7 +135,11 @@
         receive(0, 0, 100);
         expect(allowances.decide(organisation)).toMatchObject({ kind: QuotaDecisionKind.Refused, retryAfterMs: 200 });
         expect(allowances.createAsk(organisation, 1)).toBeUndefined();
-        clock.advance(100);
+        // A delay that is rounded to 0 would make callers return at once.
+        clock.advance(99.9);
+        receive(0, 0, 0.01);
+        expect(allowances.decide(organisation)).toMatchObject({ retryAfterMs: 10 });
+        clock.advance(0.1);
         expect(allowances.createAsk(organisation, 1)).toMatchObject({ tokens: 1 });
     });
 
