--- a/daemons/sidecar/src/calls/localResponses.ts
+++ b/daemons/sidecar/src/calls/localResponses.ts
@@ -16,6 +16,7 @@
 
 const notRunStatus = 503;
 const statusByReason: Partial<Record<CallReason, number>> = {
+    [CallReason.QuotaExceeded]: 429,
     [CallReason.NoRoute]: 404,
     [CallReason.BadRequest]: 400,
     [CallReason.AnswerLost]: 502,
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -29,6 +29,7 @@
 } from "@bilberrycroft/transport.forwarding";
 import { ClientLimitCounts } from "./clientLimitCounts";
 import { Collections } from "./collections";
+import { createGauges } from "./gauges";
 import { CallMetrics } from "./metrics";
 import { NodeTable, type StoredPlan } from "./nodeTable";
 import type { MeshPlatform } from "./ports";
@@ -37,6 +38,7 @@
 import type { CollectionContent, CollectionTask } from "./tasks/collectionTask";
 import { ConfigurationTask } from "./tasks/configurationTask";
 import { ProbeTask } from "./tasks/probeTask";
+import { declineAllowances, QuotaTask } from "./tasks/quotaTask";
 import { RegistrationTask } from "./tasks/registrationTask";
 import { RelayTask } from "./tasks/relayTask";
 import { RolloutTask } from "./tasks/rolloutTask";
@@ -96,6 +98,8 @@
     /** `undefined` if versions are ignored. */
     private readonly rolloutTask: RolloutTask | undefined;
     private plans: readonly StoredPlan[] = [];
+    /** `undefined` if the deployment has no quotas. */
+    private readonly quotaTask: QuotaTask | undefined;
     private readonly nodeTable = new NodeTable();
     private callerListener: Listener | undefined;
     private offerListener: OfferListener | undefined;
@@ -132,12 +136,7 @@
         this.configurationCollection = collections.createConfigurations();
         this.nodeCollection = collections.createNodes();
         this.configurationTask = new ConfigurationTask({ platform, log });
-        const localTarget = new LocalTarget({
-            clock,
-            service: settings.service,
-            address: settings.targetAddress,
-            heartbeatIntervalMs: settings.heartbeatIntervalMs,
-        });
+        const localTarget = this.createLocalTarget();
         this.registrationTask = new RegistrationTask({
             node: settings.node,
             zone: settings.zone,
@@ -149,6 +148,7 @@
             log,
         });
         this.targetTask = this.createTargetTask(localTarget);
+        this.quotaTask = this.createQuotaTask();
         this.callerTask = this.createCallerTask();
         this.probeTask = new ProbeTask({
             directory,
@@ -202,6 +202,7 @@
             handleOffer: offer => this.targetTask.handleOffer(offer),
             handleFault: this.handleFrameFault,
             createReport: () => this.targetTask.createProbeReport(),
+            handleAllowanceRequest: request => this.quotaTask?.handleRequest(request) ?? declineAllowances(request),
             onFollowerConnected: follower => this.relayTask.addFollower(follower),
             onFollowerDisconnected: follower => this.relayTask.removeFollower(follower),
             getContent: request => this.relayTask.getContent(request),
@@ -232,26 +233,19 @@
 
     /** Returns the metrics in the Prometheus text format. */
     renderMetrics(): string {
-        return this.metrics.render([
-            { name: "configuration_version", help: "Version in force.", read: () => this.configurationTask.current?.version ?? 0 },
-            { name: "nodes_known", help: "Nodes in the table.", read: () => this.directory.size },
-            { name: "calls_in_progress", help: "Calls of callers in progress.", read: () => this.callerTask.inProgress },
-            { name: "target_calls", help: "Calls in the target or waiting for it.", read: () => this.targetTask.inProgress },
-            { name: "target_calls_sent", help: "Calls sent to the target since the start.", read: () => this.targetTask.sentCalls },
-            { name: "target_request_limit", help: "Calls per second that the target accepts; 0 without a limit.", read: () => this.targetTask.requestLimit },
-            { name: "buffered_bytes", help: "Bytes of requests and responses held for callers.", read: () => this.bufferBudget.used },
-            { name: "clients_connected", help: "Open connections of callers.", read: () => this.callerListener?.clientConnections ?? 0 },
-            { name: "clients_evicted", help: "Requests and responses that gave up their memory.", read: () => this.bufferBudget.evictions },
-            ...this.clientLimits.gauges,
-            { name: "faults_confined", help: "Exceptions confined to what caused them.", read: () => this.faults.count },
-            ...this.plans.map(({ plan: { service, version, phase, share } }) => ({
-                name: "rollout_share",
-                help: "Share of a service's calls that a plan gives to a version.",
-                labels: { service, version, phase },
-                read: () => share,
-            })),
-            { name: "log_lines_dropped", help: "Log lines dropped.", read: () => this.options.log.dropped },
-        ]);
+        return this.metrics.render(createGauges({
+            configurationTask: this.configurationTask,
+            directory: this.directory,
+            callerTask: this.callerTask,
+            targetTask: this.targetTask,
+            bufferBudget: this.bufferBudget,
+            clientLimits: this.clientLimits,
+            quotaTask: this.quotaTask,
+            plans: this.plans,
+            faults: this.faults,
+            log: this.options.log,
+            clientConnections: this.callerListener?.clientConnections ?? 0,
+        }));
     }
 
     /** Stops gracefully; resolves when no call is in progress or the grace period has ended. */
@@ -288,10 +282,9 @@
         });
     }
 
-    /** A change that the store acknowledged after the last confirmation may be as old as that confirmation. */
-    private isRevocationDue(): boolean {
-        const { strictRevocation, revocationMs } = this.options.settings;
-        return strictRevocation && this.clock.now() - this.configurationCollection.confirmedAt >= revocationMs;
+    private createLocalTarget(): LocalTarget {
+        const { service, targetAddress: address, heartbeatIntervalMs } = this.options.settings;
+        return new LocalTarget({ clock: this.clock, service, address, heartbeatIntervalMs });
     }
 
     private createTargetTask(target: LocalTarget): TargetTask {
@@ -316,6 +309,14 @@
         });
     }
 
+    private createQuotaTask(): QuotaTask | undefined {
+        const { settings: { node, quota }, log } = this.options;
+        const { clock, random, peerClient: client, faults } = this;
+        return quota === undefined
+            ? undefined
+            : new QuotaTask({ clock, random, node, settings: quota, client, log, faults });
+    }
+
     private createCallerTask(): CallerTask {
         const { settings, platform, log } = this.options;
         const { clock, random, directory, quarantine, metrics } = this;
@@ -331,8 +332,11 @@
             quarantine,
             metrics,
             budgets: this.retryBudgets,
+            quotas: this.quotaTask,
             findRunningCall: callId => this.targetTask.findRunningCall(callId),
-            isRevocationDue: () => this.isRevocationDue(),
+            // A change that the store acknowledged after the last confirmation may be as old as that confirmation.
+            isRevocationDue: () => settings.strictRevocation
+                && clock.now() - this.configurationCollection.confirmedAt >= settings.revocationMs,
             knowsNewerVersion: version => this.configurationTask.knowsNewerVersion(version),
             service: settings.service,
             getLocalVersions: () => this.getLocalVersions(),
@@ -348,6 +352,7 @@
             this.configurationTask.handleContent(content)));
         this.configurationTask.activations.subscribe(guard("activation", table => {
             this.callerTask.activate(table);
+            this.quotaTask?.setConfiguration(table.configuration);
             this.callerListener?.setIdleTimeout(table.configuration.callerLimits.idleTimeoutMs);
             this.relayTask.handleVersionChange();
         }));
@@ -369,6 +374,7 @@
         }
         this.directory.setEntries(entries);
         this.relayTask.setNodes(entries);
+        this.quotaTask?.setNodes(entries);
         this.relayTask.handleVersionChange();
         this.peerClient.retainNodes(new Set(entries.map(({ address }) => address)));
         this.options.log.info("nodes-changed", { nodes: entries.length, revision: this.nodeCollection.newestRevision });
@@ -436,6 +442,7 @@
         this.rolloutTask?.stop();
         this.targetTask.stop();
         this.probeTask.stop();
+        this.quotaTask?.stop();
         this.peerClient.close();
         this.pacer.close();
         this.targetClient.close();
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -14,6 +14,7 @@
     WeightedRoundRobin,
 } from "@bilberrycroft/coordination.forwarding";
 import { type Quarantine, QuarantineDecisionKind } from "@bilberrycroft/coordination.quarantine";
+import { type QuotaDecision, QuotaDecisionKind } from "@bilberrycroft/coordination.quotas";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import type { Random } from "@bilberrycroft/core.random";
 import { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
@@ -32,6 +33,8 @@
     readonly budgets: RetryBudgets;
     readonly quarantine: Quarantine;
     readonly metrics: CallMetrics;
+    /** Decides on calls of organisations; `undefined` if the deployment has no quotas. */
+    readonly quotas: CallQuotas | undefined;
     /** Returns the call with this identifier if it is running in the local target. */
     findRunningCall(callId: string): Offer | undefined;
     /** Whether a peer has reported a configuration version newer than the given one. */
@@ -42,6 +45,11 @@
     readonly service: string;
 }
 
+/** Limits on the calls of organisations over all nodes. */
+export interface CallQuotas {
+    acquire(organisation: string): QuotaDecision | Promise<QuotaDecision>;
+}
+
 /** Time reserved for sending the response before the caller's timeout. */
 const deadlineMarginMs: Milliseconds = 10;
 /** Maximum time for which a caller waits; also used if the caller does not send its wait time. */
@@ -209,6 +217,9 @@
             sendLocalResponse(response, options.codec, { callId: head.callId, reason, retryAfterMs });
             return;
         }
+        if (options.quotas !== undefined && !await this.isWithinQuota(options.quotas, call)) {
+            return;
+        }
         const services: PlanDependencies = {
             clock: options.clock,
             directory: options.directory,
@@ -273,6 +284,29 @@
         };
     }
 
+    /**
+     * Whether the organisation of the call has room for it; otherwise the call is refused. Inner calls do not count,
+     * because their parent did.
+     */
+    private async isWithinQuota(quotas: CallQuotas, { offer, response, callId }: AcceptedCall): Promise<boolean> {
+        const { codec, metrics } = this.options;
+        const { organisation, isInner } = offer;
+        if (organisation === undefined || isInner) {
+            return true;
+        }
+        const acquired = quotas.acquire(organisation);
+        const decision = acquired instanceof Promise ? await acquired : acquired;
+        if (decision.kind === QuotaDecisionKind.Admitted) {
+            // The caller may have disconnected while the call waited.
+            return !response.destroyed;
+        }
+        const { retryAfterMs } = decision;
+        const reason = CallReason.QuotaExceeded;
+        metrics.recordRefusal(reason);
+        sendLocalResponse(response, codec, { callId, reason, retryAfterMs });
+        return false;
+    }
+
     private recordEnd(call: AcceptedCall, service: string, end: CallEnd): void {
         const { clock, log, metrics } = this.options;
         const latencyMs = clock.now() - call.startedAt;
