--- a/coordination/relay/src/sourceSelection.ts
+++ b/coordination/relay/src/sourceSelection.ts
@@ -103,12 +103,18 @@
     }
 
     /**
-     * Number of nodes of all zones that come before this one in the common order and were heard to read the store.
-     * A reader follows the first reader of each zone, so that all readers agree on the first of all.
+     * Number of readers that come before this one: the first readers of all zones in the common order, then the others.
+     * Each reader follows the first reader of each zone, so that all of them agree on the first two.
      */
     countReadersBefore(): number {
-        const position = this.order.findIndex(({ node }) => node === this.options.node);
-        return this.order.slice(0, Math.max(0, position)).filter(({ node }) => this.wasHeardToRead(node)).length;
+        const { node: self, zone: ownZone } = this.options;
+        const position = this.order.findIndex(({ node }) => node === self);
+        const before = this.order.slice(0, Math.max(0, position)).filter(({ node }) => this.wasHeardToRead(node));
+        if (!before.some(({ zone }) => zone === ownZone)) {
+            return before.length;
+        }
+        const remote = this.order.filter(({ node, zone }) => zone !== ownZone && this.wasHeardToRead(node));
+        return before.filter(({ zone }) => zone === ownZone).length + remote.length;
     }
 
     /** Returns the current role of this node. Followed nodes without recent messages count as lost. */
--- a/coordination/relay/test/sourceSelection.test.ts
+++ b/coordination/relay/test/sourceSelection.test.ts
@@ -52,6 +52,40 @@
         clock = new ManualClock();
     });
 
+    describe("the first two of all readers", () => {
+        const zones = ["z1", "z2", "z3"];
+        const spread = zones.flatMap(zone => Array.from({ length: 4 }, (_, index) => createNode(`${zone}-${index}`, zone)));
+
+        const listPositions = (simulated: SimulatedNodes): number[] => simulated.readers()
+            .filter(name => !simulated.withoutStore.has(name))
+            .map(name => simulated.selections.get(name)?.countReadersBefore() ?? -1).sort();
+
+        it("are one node each, also in one zone; guards against several nodes that act", () => {
+            for (const all of [nodes, spread]) {
+                const simulated = new SimulatedNodes(clock, all);
+                simulated.settle();
+                expect(listPositions(simulated).slice(0, 3).filter(position => position < 2)).toEqual([0, 1]);
+            }
+        });
+
+        it("are replaced when the first fails or cannot reach the store", () => {
+            const simulated = new SimulatedNodes(clock, spread);
+            simulated.settle();
+            const findFirst = (): string => simulated.readers()
+                .filter(name => !simulated.withoutStore.has(name))
+                .find(name => simulated.selections.get(name)?.countReadersBefore() === 0) ?? "";
+            const first = findFirst();
+            simulated.failed.add(first);
+            simulated.settle();
+            const second = findFirst();
+            expect(second).not.toBe(first);
+            simulated.withoutStore.add(second);
+            simulated.settle();
+            expect([first, second, ""]).not.toContain(findFirst());
+            expect(listPositions(simulated).filter(position => position === 0)).toHaveLength(1);
+        });
+    });
+
     describe("in one zone", () => {
         it("selects two readers that all other nodes follow", () => {
             const simulated = new SimulatedNodes(clock, nodes);
--- a/coordination/rollouts/src/evidenceHistory.ts
+++ b/coordination/rollouts/src/evidenceHistory.ts
@@ -46,6 +46,7 @@
 export class EvidenceHistory {
     private readonly latestByNode = new Map<string, VersionCounts>();
     private readonly total: Counts;
+    private firstRunAt: Milliseconds | undefined;
     private periods: Period[] = [];
     private buckets: Counts[] = [];
 
@@ -79,11 +80,17 @@
             const difference = combine(route, earlier.get(route.route), -1);
             // A count that shrank comes from a node that answered out of order.
             if (difference.runs >= 0 && difference.timed >= 0 && difference.failures >= 0) {
+                this.firstRunAt ??= side === "after" && difference.timed > 0 ? this.options.clock.now() : undefined;
                 [bucket, period, this.total].forEach(totals => totals && addTo(totals[side], difference));
             }
         }
     }
 
+    /** Time since the first run of the new version was heard of. */
+    get spanMs(): Milliseconds {
+        return this.firstRunAt === undefined ? 0 : this.options.clock.now() - this.firstRunAt;
+    }
+
     /** Returns the counts of the whole rollout. */
     get totals(): ComparedTotals {
         return this.total;
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -55,7 +55,7 @@
 /** The duration of an order runs while it waits, and orders are rare. */
 const orderBatchDelayMs: Milliseconds = 0;
 /** Long, because each watch costs and orders are rare. Two nodes watch, so that a silent connection hides no order. */
-const orderWatchWaitMs: Milliseconds = 20_000;
+const orderWatchWaitMs: Milliseconds = 25_000;
 /** Callers stop using the node after two failed readiness checks one second apart; includes time for the second one. */
 const readinessPropagationMs: Milliseconds = 2_300;
 const stopPollIntervalMs: Milliseconds = 50;
