--- a/daemons/sidecar/src/collections.ts
+++ b/daemons/sidecar/src/collections.ts
@@ -20,7 +20,7 @@
 /** The duration of an order runs while it waits, and orders are rare. */
 const orderBatchDelayMs: Milliseconds = 0;
 /** Long, because each watch costs and orders are rare. Two nodes watch, so that a silent connection hides no order. */
-const orderWatchWaitMs: Milliseconds = 20_000;
+const orderWatchWaitMs: Milliseconds = 25_000;
 /**
  * Longest wait of a watch, as a share of the time within which a removed key must lose its effect. Two watches, a batch
  * delay and the round trips fit into that time.
