--- a/coordination/forwarding/src/targetQueue.ts
+++ b/coordination/forwarding/src/targetQueue.ts
@@ -176,14 +176,14 @@
     }
 
     /**
-     * Refuses a queued call of the same priority, so that `call` has room: the last one of the organisation that has
-     * the most of them in relation to its share. Returns `undefined` if `call` is the one to be refused, as it is while
-     * one organisation is present.
+     * Refuses a queued call of the same priority and kind (inner or not), so that `call` has room: the last one of the
+     * organisation that has the most of them in relation to its share. Returns `undefined` if `call` is the one to be
+     * refused, as it is while one organisation is present.
      */
     private evictFor(call: OfferedCall, now: Milliseconds): OfferRefusal | undefined {
-        const isRival = (other: OfferedCall): boolean => !other.isInner && other.priority === call.priority;
-        if (call.isInner || !this.queue.some(({ call: other }) =>
-            isRival(other) && other.organisation !== call.organisation)) {
+        const isRival = (other: OfferedCall): boolean =>
+            other.isInner === call.isInner && other.priority === call.priority;
+        if (!this.queue.some(({ call: other }) => isRival(other) && other.organisation !== call.organisation)) {
             return undefined;
         }
         const rivals = this.queue.filter(({ call: other }) => isRival(other));
--- a/coordination/forwarding/test/targetQueue.test.ts
+++ b/coordination/forwarding/test/targetQueue.test.ts
@@ -205,6 +205,13 @@
             expect(queue.finish(running[1], RunResult.Answered).map(({ callId }) => callId)).toEqual([ids[2]]);
         });
 
+        // Guards against inner calls of one that fill the queue and make the parent calls of all others fail.
+        it("queues an inner call of one without any in place of an inner call", () => {
+            const queued = fillQueue({ organisation: "large", isInner: true });
+            expect(queue.offer(createCall({ organisation: "small", isInner: true })))
+                .toMatchObject({ kind: OfferDecisionKind.Queued, evicted: { callId: queued.at(-1) } });
+        });
+
         // An inner call's parent holds a slot, and a call of another priority does not compete for the same share.
         it.each([{ isInner: true }, { priority: 0 }, { priority: 2 }])("never refuses queued calls with %j for it", changes => {
             const queued = fillQueue({ organisation: "large", ...changes });
--- a/daemons/sidecar/src/tasks/configurationTask.ts
+++ b/daemons/sidecar/src/tasks/configurationTask.ts
@@ -132,7 +132,9 @@
         if (this.recentVersions.size > maxRecentVersions) {
             this.recentVersions.delete(this.recentVersions.keys().next().value as number);
         }
-        log.info("configuration-activated", { version, from, routes: configuration.routes.length });
+        const { routes, organisations } = configuration;
+        const organisationCount = organisations.length === 0 ? undefined : organisations.length;
+        log.info("configuration-activated", { version, from, routes: routes.length, organisations: organisationCount });
         this.activations.next(this.table);
     }
 }
