Handle nothing behind a response that closes the connection

Cause: the listener handled each parsed request, also behind a response that closes the connection, and closed the connection at once on any error of the parser, with the responses to good requests unsent. Node reports bytes behind "connection: close" as such an error.

Change: a request is dropped, and the parser stopped, if an earlier response on its connection closes it or the connection is ending. After an error of the parser, the good requests get their responses first; then the connection closes, with 400 if that cannot be misunderstood.

--- a/transport/calls/src/listener.ts
+++ b/transport/calls/src/listener.ts
@@ -58,6 +58,9 @@
         noDelay: true,
     }, (request, response) => {
         const { socket } = request;
+        if (openResponses.hasClosing(socket)) {
+            closingConnections.add(socket);
+        }
         if (closingConnections.dropRequest(socket)) {
             return;
         }
@@ -80,11 +83,8 @@
     server.maxConnections = connections === undefined ? options.maxConnections : Number.POSITIVE_INFINITY;
     server.prependListener("connection", socket => connections?.add(socket));
     server.on("clientError", (_error, socket) => {
-        if (!openResponses.canSendError(socket)) {
-            socket.destroy();
-            return;
-        }
-        socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\nx-mesh-outcome: not-run\r\n\r\n");
+        closingConnections.add(socket);
+        openResponses.closeAfterError(socket);
     });
     return new Promise((resolve, reject) => {
         server.once("error", reject);
@@ -127,8 +127,10 @@
     private readonly dropped = new WeakMap<Duplex, number>();
 
     add(socket: Duplex): void {
-        this.dropped.set(socket, 0);
-        stopParsing(socket);
+        if (!this.dropped.has(socket)) {
+            this.dropped.set(socket, 0);
+            stopParsing(socket);
+        }
     }
 
     /** Whether the request must not be handled. */
@@ -172,6 +174,7 @@
  */
 class OpenResponses {
     private readonly responses = new Map<Duplex, Set<ServerResponse>>();
+    private readonly failed = new WeakSet<Duplex>();
     private isClosing = false;
 
     add(socket: Duplex, response: ServerResponse): void {
@@ -195,6 +198,39 @@
         }
     }
 
+    /** Whether a response on the connection, complete or not, closes the connection. */
+    hasClosing(socket: Duplex): boolean {
+        const open = this.responses.get(socket);
+        return open !== undefined && (!socket.writable || [...open].some(isClosing));
+    }
+
+    /** Closes a connection whose last bytes are not HTTP, after the responses to the good requests before them. */
+    closeAfterError(socket: Duplex): void {
+        if (!this.failed.has(socket)) {
+            this.failed.add(socket);
+            // Each further read would be an error again.
+            socket.pause();
+            this.whenComplete(socket, () => endMalformed(socket, this.canSendError(socket)));
+        }
+    }
+
+    /** Runs an action when all requests that have arrived completely have their responses. */
+    private whenComplete(socket: Duplex, run: () => void): void {
+        const pending = [...this.responses.get(socket) ?? []].filter(({ req }) => req.complete);
+        let remaining = pending.length;
+        if (remaining === 0) {
+            return run();
+        }
+        for (const response of pending) {
+            response.once("close", () => {
+                remaining--;
+                if (remaining === 0) {
+                    run();
+                }
+            });
+        }
+    }
+
     private addConnection(socket: Duplex): Set<ServerResponse> {
         const open = new Set<ServerResponse>();
         this.responses.set(socket, open);
@@ -223,6 +259,24 @@
     }
 }
 
+/** Whether the connection closes after the response. */
+function isClosing(response: ServerResponse): boolean {
+    return !response.shouldKeepAlive || response.getHeader("connection") === "close";
+}
+
+/** Closes a connection, with a response to its last bytes if that cannot be misunderstood. */
+function endMalformed(socket: Duplex, canSendError: boolean): void {
+    if (!socket.writable) {
+        // It already closes after its last response.
+        return;
+    }
+    if (!canSendError) {
+        socket.destroy();
+        return;
+    }
+    socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\nx-mesh-outcome: not-run\r\n\r\n");
+}
+
 function formatAddress(server: Server): string {
     const { address, port, family } = server.address() as AddressInfo;
     return family === "IPv6" ? `[${address}]:${port}` : `${address}:${port}`;
