--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -121,7 +121,7 @@
             linkBytesPerSecond: settings.linkBytesPerSecond,
             maxQueuedBytes: pacedMemoryShare * memoryBytes,
         });
-        const directory = new TargetDirectory({
+        this.directory = new TargetDirectory({
             clock,
             random: this.random,
             node: settings.node,
@@ -129,9 +129,8 @@
             onUnhealthy: () => this.probeTask.schedule(),
             usesVersions: settings.rollout !== undefined,
         });
-        this.directory = directory;
         this.quarantine = new Quarantine({ node: settings.node, clock });
-        this.retryBudgets = new RetryBudgets({ clock, bound: settings.retryBudget, countNodes: () => directory.size });
+        this.retryBudgets = new RetryBudgets({ clock, bound: settings.retryBudget, countNodes: () => this.directory.size });
         const collections = new Collections({ settings, platform, clock, random, log, faults });
         this.configurationCollection = collections.createConfigurations();
         this.nodeCollection = collections.createNodes();
@@ -151,7 +150,7 @@
         this.quotaTask = this.createQuotaTask();
         this.callerTask = this.createCallerTask();
         this.probeTask = new ProbeTask({
-            directory,
+            directory: this.directory,
             client: this.peerClient,
             log,
             faults: this.faults,
