Take the descriptors of a process from its settings

Cause: the number of connections of clients follows from the descriptors that the system reports. Where the platform enforces its own limit, the system's figure says nothing; it left none after the reserve, so that one connection remained.

--- a/daemons/sidecar/src/settings.ts
+++ b/daemons/sidecar/src/settings.ts
@@ -42,6 +42,8 @@
     /** Bounds of rollouts; `undefined` if versions are ignored. */
     readonly rollout?: RolloutBounds | undefined;
     readonly clients: ClientSettings;
+    /** Descriptors that the platform grants to the process; those of the system apply if `undefined`. */
+    readonly descriptors: number | undefined;
 }
 
 /** What a bad version may get of its service's calls. */
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -30,6 +30,7 @@
 import { ClientLimitCounts } from "./clientLimitCounts";
 import { Collections } from "./collections";
 import { createGauges } from "./gauges";
+import { divideMemory } from "./memoryShares";
 import { CallMetrics } from "./metrics";
 import { NodeTable, type StoredPlan } from "./nodeTable";
 import type { MeshPlatform } from "./ports";
@@ -53,14 +54,6 @@
 }
 
 const maxSeed = 0x7fffffff;
-/**
- * Shares of the memory of the process for what it holds for clients, and for responses of the target that wait for the
- * link. The first one holds a body of 64 MiB, the largest of the platform, in the 200 MB of the smallest machine; the
- * program itself takes about 65 MB, and garbage that has not been collected up to 40 MB.
- */
-const clientMemoryShare = 0.35;
-const pacedMemoryShare = 0.125;
-const defaultMemoryBytes = 268_435_456;
 const maxConnections = 3_000;
 const maxHeaderBytes = 65_536;
 const requestTimeoutMs: Milliseconds = 60_000;
@@ -112,14 +105,14 @@
         const { clock, random, faults } = this;
         this.handleFrameFault = ({ kind, offerId }, error) => this.faults.record("frame", { kind, offerId }, error);
         this.peerClient = new PeerClient(this.handleFrameFault);
-        const memoryBytes = settings.memoryBytes ?? defaultMemoryBytes;
-        this.budgetBytes = clientMemoryShare * memoryBytes;
-        this.bufferBudget = new BufferBudget(this.budgetBytes, clock);
+        const { clientBytes, pacedBytes } = divideMemory(settings.memoryBytes);
+        this.budgetBytes = clientBytes;
+        this.bufferBudget = new BufferBudget(clientBytes, clock);
         this.clientLimits = new ClientLimitCounts(log);
         this.pacer = new ResponsePacer({
             clock,
             linkBytesPerSecond: settings.linkBytesPerSecond,
-            maxQueuedBytes: pacedMemoryShare * memoryBytes,
+            maxQueuedBytes: pacedBytes,
         });
         this.directory = new TargetDirectory({
             clock,
@@ -130,7 +123,11 @@
             usesVersions: settings.rollout !== undefined,
         });
         this.quarantine = new Quarantine({ node: settings.node, clock });
-        this.retryBudgets = new RetryBudgets({ clock, bound: settings.retryBudget, countNodes: () => this.directory.size });
+        this.retryBudgets = new RetryBudgets({
+            clock,
+            bound: settings.retryBudget,
+            countNodes: () => this.directory.size,
+        });
         const collections = new Collections({ settings, platform, clock, random, log, faults });
         this.configurationCollection = collections.createConfigurations();
         this.nodeCollection = collections.createNodes();
@@ -182,7 +179,7 @@
             clients: {
                 ...limitConnections(settings.clients, {
                     budgetBytes: this.budgetBytes,
-                    descriptors: readDescriptorLimit(),
+                    descriptors: settings.descriptors ?? readDescriptorLimit(),
                 }),
                 accounts: this.bufferBudget,
                 onLimit: (limit, address) => this.clientLimits.record(limit, {
--- a/transport/calls/src/clientConnections.ts
+++ b/transport/calls/src/clientConnections.ts
@@ -56,6 +56,9 @@
 /** Callers of one host may share an address, so it gets most of the connections; the rest is for other addresses. */
 const defaultAddressShare = 0.75;
 
+/** Part of few descriptors that remains for clients, so that a low limit of the system does not exclude them. */
+const minDescriptorShare = 0.5;
+
 /** Limits the connections to what the memory and the descriptors of the process allow. */
 export function limitConnections(
     settings: ClientSettings,
@@ -64,7 +67,7 @@
     const maxConnections = Math.max(1, Math.floor(Math.min(
         settings.connections,
         budgetBytes / (connectionBytes + requestBytes),
-        descriptors - settings.reservedDescriptors,
+        Math.max(descriptors - settings.reservedDescriptors, minDescriptorShare * descriptors),
     )));
     return {
         maxConnections,
