--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -132,7 +132,8 @@
         this.configurationCollection = collections.createConfigurations();
         this.nodeCollection = collections.createNodes();
         this.configurationTask = new ConfigurationTask({ platform, log });
-        const localTarget = this.createLocalTarget();
+        const { service, targetAddress: address, heartbeatIntervalMs } = settings;
+        const localTarget = new LocalTarget({ clock, service, address, heartbeatIntervalMs });
         this.registrationTask = new RegistrationTask({
             node: settings.node,
             zone: settings.zone,
@@ -278,11 +279,6 @@
         });
     }
 
-    private createLocalTarget(): LocalTarget {
-        const { service, targetAddress: address, heartbeatIntervalMs } = this.options.settings;
-        return new LocalTarget({ clock: this.clock, service, address, heartbeatIntervalMs });
-    }
-
     private createTargetTask(target: LocalTarget): TargetTask {
         const { settings, platform, log } = this.options;
         const { clock, random, quarantine } = this;
