Renew connections only to nodes that count as silent

Cause: one reply that took longer than 150 ms made both connections to a node be opened anew, also those of offers, which adds load to a node that is slow because of its load. With an overage of 0, tokens expired before they arrived.

Change: connections are renewed once a second request got no reply; tokens live for at least 50 ms.

--- a/coordination/quotas/src/quotaBound.ts
+++ b/coordination/quotas/src/quotaBound.ts
@@ -16,6 +16,8 @@
 const lifetimeOverageShare = 0.6;
 /** Longer lifetimes save few messages, and prefetched tokens would be withheld from the other nodes for longer. */
 const maxLifetimeMs: Milliseconds = 1_000;
+/** Shorter lifetimes would end before a grant arrives; with less overage than that, the bound may be exceeded. */
+const minLifetimeMs: Milliseconds = 50;
 /** A bucket that is well filled grants for longer, as far as it has room for what it granted; saves messages. */
 const wellFilledLifetimeFactor = 1.6;
 /** Part of the slack that enlarges the bucket, so that small organisations may send several calls at once. */
@@ -25,7 +27,7 @@
 
 /** Time from a request until its tokens expire if the bucket is not well filled. */
 export function computeLifetimeMs({ windowMs, overage }: QuotaBound): Milliseconds {
-    return Math.min(maxLifetimeMs, lifetimeOverageShare * overage * windowMs);
+    return Math.min(maxLifetimeMs, Math.max(minLifetimeMs, lifetimeOverageShare * overage * windowMs));
 }
 
 /** Time from a request until its tokens expire if the bucket is well filled. */
--- a/daemons/sidecar/src/tasks/quotaTask.ts
+++ b/daemons/sidecar/src/tasks/quotaTask.ts
@@ -184,9 +184,12 @@
             case AllowanceOutcomeKind.Broken:
                 return this.endWithoutReply(id, NoReplyCause.Broken);
             case AllowanceOutcomeKind.Silent:
-                // After a partition, a connection may stay silent for seconds until TCP sends again.
-                this.options.client.renewConnections(address);
-                return this.endWithoutReply(id, NoReplyCause.Silent);
+                this.endWithoutReply(id, NoReplyCause.Silent);
+                if (!this.quota.contacts.isResponding(to)) {
+                    // After a partition, a connection may stay silent for seconds until TCP sends again.
+                    this.options.client.renewConnections(address);
+                }
+                return;
             case AllowanceOutcomeKind.Slow:
                 return this.endWithoutReply(id, NoReplyCause.Slow);
             default:
