Count requests that fail together as one failure

Cause: after a pause of this process, the timers of all requests in flight ran before the replies were read. Two requests to one accounting node were then two failures, and this node turned to the next in the order, although nothing was wrong with the first.

Change: a failure counts only for a request that was sent after the last one. Two methods that nothing used are removed.

--- a/coordination/quotas/src/nodeContacts.ts
+++ b/coordination/quotas/src/nodeContacts.ts
@@ -125,7 +125,8 @@
     /** A request that was sent at this time got no reply, or could not be sent. */
     recordFailure(node: string, sentAt: Milliseconds): void {
         const contact = this.contacts.get(node);
-        if (contact !== undefined && contact.repliedAt <= sentAt) {
+        // Requests that were in flight together fail together if this process did not run, and count once.
+        if (contact !== undefined && contact.repliedAt <= sentAt && sentAt >= contact.failedAt) {
             contact.failures++;
             contact.failedAt = this.options.clock.now();
             if (contact.failures === maxFailures) {
--- a/coordination/quotas/src/quotaLedger.ts
+++ b/coordination/quotas/src/quotaLedger.ts
@@ -112,10 +112,6 @@
             account.askers.size > 0 && this.isAccountTight(account) && this.exceedsReserve(account));
     }
 
-    has(organisation: string): boolean {
-        return this.accounts.has(organisation);
-    }
-
     /**
      * Opens an account, or changes the limit of an existing one. A new bucket is empty. Returns `false` if the ledger
      * is full.
--- a/coordination/quotas/src/quotaNode.ts
+++ b/coordination/quotas/src/quotaNode.ts
@@ -128,11 +128,6 @@
         return this.ledger.size;
     }
 
-    /** The node that this node last asked for an organisation. */
-    selectedNode(organisation: string): string | undefined {
-        return this.selectedNodes.get(organisation);
-    }
-
     setNodes(peers: readonly QuotaPeer[]): void {
         this.contacts.setNodes(peers);
         this.applyChanges();
--- a/coordination/quotas/test/quotaLedger.test.ts
+++ b/coordination/quotas/test/quotaLedger.test.ts
@@ -199,9 +199,15 @@
         const clock = new ManualClock();
         const contacts = new NodeContacts({ clock, node: "a0" });
         contacts.setNodes(["a0", "a1", "b0", "b1", "b2", "b3"].map(node => ({ node, zone: node.slice(0, 1) })));
-        for (const node of ["b0", "b0", "b1"]) {
+        const sentAt = clock.now();
+        clock.advance(150);
+        // Several requests that fail together, after a pause of this process, are one failure.
+        [1, 2, 3].forEach(() => contacts.recordFailure("b0", sentAt));
+        expect(contacts.isResponding("b0")).toBe(true);
+        for (const node of ["b0", "b1"]) {
             contacts.recordFailure(node, clock.now());
         }
+        expect(contacts.isResponding("b0")).toBe(false);
         expect(contacts.isResponding("b2")).toBe(true);
         contacts.recordFailure("b1", clock.now());
         expect(contacts.isResponding("b2")).toBe(false);
