--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -302,7 +302,7 @@
         }
         const { retryAfterMs } = decision;
         const reason = CallReason.QuotaExceeded;
-        metrics.recordRefusal(reason);
+        metrics.recordRefusal(reason, organisation);
         sendLocalResponse(response, codec, { callId, reason, retryAfterMs });
         return false;
     }
