--- a/daemons/node/src/calls/callTask.ts
+++ b/daemons/node/src/calls/callTask.ts
@@ -165,7 +165,7 @@
     }
 
     /** Refuses a request whose memory is needed for others; the rest of its body cannot be told from a next request. */
-    private refuseEvicted(response: ServerResponse): void {
+    refuseEvicted(response: ServerResponse): void {
         response.setHeader("connection", "close");
         const now = this.options.clock.now();
         if (now >= this.nextEvictionLogAt) {
--- a/daemons/node/src/node.ts
+++ b/daemons/node/src/node.ts
@@ -177,6 +177,7 @@
                     { budgetBytes: this.budgetBytes, descriptors: readDescriptorLimit() },
                 ),
                 accounts: this.bufferBudget,
+                refuse: (_request, response) => this.callTask.refuseEvicted(response),
                 onLimit: limit => this.limitCounts.set(limit, this.countLimit(limit) + 1),
             },
             handle: (request, response) => this.callTask.handle(request, response),
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -182,6 +182,7 @@
                 }),
                 accounts: this.bufferBudget,
                 onLimit: (limit, address) => this.recordClientLimit(limit, address),
+                refuse: (request, response) => this.callerTask.refuse(request, response),
             },
             handle: (request, response) => this.callerTask.handle(request, response),
         });
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -97,6 +97,15 @@
         );
     }
 
+    /** Refuses a request that is not handled, because too many before it on its connection are open. */
+    refuse(request: IncomingMessage, response: ServerResponse): void {
+        const { codec, metrics } = this.options;
+        const reason = CallReason.Overloaded;
+        metrics.recordRefusal(reason);
+        const callId = codec.readCallerHead(request.headers)?.callId;
+        sendLocalResponse(response, codec, { callId, reason, retryAfterMs: retryAfterMsByReason[reason] });
+    }
+
     private async handleCall(
         request: IncomingMessage,
         response: ServerResponse,
--- a/transport/calls/src/clientConnections.ts
+++ b/transport/calls/src/clientConnections.ts
@@ -4,7 +4,7 @@
  * At a limit, the connection that has waited longest for its client gives way to a new one, so that clients that stop
  * cannot keep others out. A connection whose request is being forwarded never gives way.
  */
-import type { ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { performance } from "node:perf_hooks";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
@@ -32,6 +32,8 @@
     readonly maxPipelinedRequests: number;
     readonly accounts: ClientAccounts;
     onLimit(limit: ClientLimit, address: string): void;
+    /** Responds that a pipelined request was not run. The response closes its connection. */
+    refuse(request: IncomingMessage, response: ServerResponse): void;
 }
 
 /** Socket, parser and stream objects of a connection; measured as 22 KB for each of 1,500 connections. */
--- a/transport/calls/src/listener.ts
+++ b/transport/calls/src/listener.ts
@@ -12,7 +12,6 @@
 const defaultIdleTimeoutMs: Milliseconds = 30_000;
 const defaultMaxHeaderBytes = 16_384;
 const badRequestStatus = 400;
-const unavailableStatus = 503;
 
 export interface ListenerOptions {
     /** IP address to bind to. */
@@ -66,14 +65,17 @@
         }
         if (connections?.admitRequest(socket, response) === false) {
             closingConnections.add(socket);
-            refusePipelinedRequest(socket, response);
+            // Nothing more is read: each head that is read costs memory until the connection closes.
+            socket.pause();
+            openResponses.add(socket, response);
+            response.setHeader("connection", "close");
+            options.clients?.refuse(request, response);
             return;
         }
         if (isStopping) {
             response.setHeader("connection", "close");
         }
-        response.on("error", () => undefined);
-        openResponses.add(request.socket, response);
+        openResponses.add(socket, response);
         if (describeInvalidHeader(request.headers) !== undefined) {
             response.writeHead(badRequestStatus, { connection: "close", "x-mesh-outcome": "not-run" }).end();
             return;
@@ -159,15 +161,6 @@
     }
 }
 
-/** Refuses a request and closes its connection after the response. */
-function refusePipelinedRequest(socket: Duplex, response: ServerResponse): void {
-    // Nothing more is read: each head that is read costs memory until the connection closes.
-    socket.pause();
-    response.on("error", () => undefined);
-    response.writeHead(unavailableStatus, { connection: "close", "retry-after": "1", "x-mesh-outcome": "not-run" });
-    response.end();
-}
-
 /**
  * Tracks unfinished responses per connection. Malformed bytes may follow a request whose response is still in progress.
  * The caller would mistake an error response to them for the response to that request, or for a part of it.
@@ -180,6 +173,7 @@
     add(socket: Duplex, response: ServerResponse): void {
         const open = this.responses.get(socket) ?? this.addConnection(socket);
         open.add(response);
+        response.on("error", () => undefined);
         response.once("close", () => {
             open.delete(response);
             if (this.isClosing && open.size === 0) {
