--- a/daemons/node/test/faultMatrix/oddInputs.ts
+++ b/daemons/node/test/faultMatrix/oddInputs.ts
@@ -48,6 +48,8 @@
     createInput("caller", "many bodies far over the limit", hostileClients, "far over the limit, not declared"),
     createInput("caller", "thousands of pipelined heads", hostileClients, "2,000 pipelined heads"),
     createInput("caller", "unfinished heads, more connections than allowed, unread responses", hostileClients, "300 unfinished heads"),
+    createInput("caller", "malformed bytes behind good requests", "platform/test/pipelining.test.ts", "are answered if malformed bytes follow them"),
+    createInput("caller", "requests behind a response that closes the connection", "platform/test/pipelining.test.ts", "are not forwarded while the process stops"),
     createInput("other writer", "port out of range in an entry", otherWriterInputs, "a port above 65535"),
     createInput("other writer", "deeply nested entry", otherWriterInputs, "a deeply nested value"),
     createInput("other writer", "number too large in an entry", otherWriterInputs, "too large a number of slots"),
