Charge the head of a request to the budget

Cause: 64 open requests of a connection with heads of 64 KB were charged 1 MB and took 4 MB. A head within the platform's 16,384 bytes is charged as well, but a single request with it is never refused for it.

Found by reading, not by a load. 14 tests of the connections, of pipelining and of invalid headers pass.

--- a/transport/calls/src/clientConnections.ts
+++ b/transport/calls/src/clientConnections.ts
@@ -40,6 +40,8 @@
 export const connectionBytes = 24_576;
 /** Objects of a request, its response and its call, without its head. */
 export const requestBytes = 16_384;
+/** Largest head that the platform allows; a single request with such a head is never refused for want of memory. */
+const maxOrdinaryHeadBytes = 16_384;
 /** A client at this rate is not closed while it sends a request or takes a response. */
 const minBytesPerMs = 16.384;
 /** Within this time nothing can be said about the rate of a client. */
@@ -187,13 +189,15 @@
         }
         const { accounts, maxPipelinedRequests, onLimit } = this.limits;
         const { openRequests } = connection;
-        if (openRequests > 0 && (openRequests >= maxPipelinedRequests || !accounts.hasRoom(requestBytes))) {
+        const headBytes = measureHead(response.req);
+        const mayRefuse = openRequests > 0 || headBytes > maxOrdinaryHeadBytes;
+        if (openRequests >= maxPipelinedRequests || (mayRefuse && !accounts.hasRoom(requestBytes + headBytes))) {
             onLimit(ClientLimit.PipelineRefused, connection.address);
             return false;
         }
         connection.add(response);
         const account = accounts.open();
-        account.set(requestBytes);
+        account.set(requestBytes + headBytes);
         response.once("close", () => {
             account.set(0);
             connection.remove(response);
@@ -237,3 +241,8 @@
         return victim;
     }
 }
+
+/** Characters of the path and of the headers. */
+function measureHead({ rawHeaders, url = "" }: IncomingMessage): number {
+    return rawHeaders.reduce((sum, { length }) => sum + length, url.length);
+}
