--- a/daemons/sidecar/src/clientLimitCounts.ts
+++ b/daemons/sidecar/src/clientLimitCounts.ts
@@ -16,9 +16,8 @@
     [ClientLimit.PipelineRefused]: "client_pipelines_refused",
 };
 
-/** A client to which a limit applied, with what the node held for all clients at that moment. */
-export interface LimitedClient {
-    readonly address: string;
+/** What a node holds for all clients. */
+export interface ClientLoad {
     readonly connections: number;
     readonly buffered: number;
 }
@@ -26,11 +25,11 @@
 export class ClientLimitCounts {
     private readonly counts = new Map<ClientLimit, number>();
 
-    constructor(private readonly log: EventLog) {}
+    constructor(private readonly log: EventLog, private readonly readLoad: () => ClientLoad) {}
 
-    record(limit: ClientLimit, client: LimitedClient): void {
+    record(limit: ClientLimit, address: string): void {
         this.counts.set(limit, this.countOf(limit) + 1);
-        this.log.sample("client-limited", { limit, ...client });
+        this.log.sample("client-limited", { limit, address, ...this.readLoad() });
     }
 
     get gauges(): readonly Gauge[] {
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -108,7 +108,10 @@
         const { clientBytes, pacedBytes } = divideMemory(settings.memoryBytes);
         this.budgetBytes = clientBytes;
         this.bufferBudget = new BufferBudget(clientBytes, clock);
-        this.clientLimits = new ClientLimitCounts(log);
+        this.clientLimits = new ClientLimitCounts(log, () => ({
+            connections: this.callerListener?.clientConnections ?? 0,
+            buffered: this.bufferBudget.used,
+        }));
         this.pacer = new ResponsePacer({
             clock,
             linkBytesPerSecond: settings.linkBytesPerSecond,
@@ -183,11 +186,8 @@
                     descriptors: settings.descriptors ?? readDescriptorLimit(),
                 }),
                 accounts: this.bufferBudget,
-                onLimit: (limit, address) => this.clientLimits.record(limit, {
-                    address,
-                    connections: this.callerListener?.clientConnections ?? 0,
-                    buffered: this.bufferBudget.used,
-                }),
+                onLimit: (limit, address) => this.clientLimits.record(limit, address),
+                refuse: (request, response) => this.callerTask.refuse(request, response),
             },
             handle: (request, response) => this.callerTask.handle(request, response),
         });
