--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -27,7 +27,7 @@
     ResponsePacer,
     startOfferListener,
 } from "@bilberrycroft/transport.forwarding";
-import { ClientLimitCounts } from "./clientLimitCounts";
+import { ClientLimitCounts, type ClientLoad } from "./clientLimitCounts";
 import { Collections } from "./collections";
 import { createGauges } from "./gauges";
 import { divideMemory } from "./memoryShares";
@@ -108,10 +108,7 @@
         const { clientBytes, pacedBytes } = divideMemory(settings.memoryBytes);
         this.budgetBytes = clientBytes;
         this.bufferBudget = new BufferBudget(clientBytes, clock);
-        this.clientLimits = new ClientLimitCounts(log, () => ({
-            connections: this.callerListener?.clientConnections ?? 0,
-            buffered: this.bufferBudget.used,
-        }));
+        this.clientLimits = new ClientLimitCounts(log, () => this.clientLoad);
         this.pacer = new ResponsePacer({
             clock,
             linkBytesPerSecond: settings.linkBytesPerSecond,
@@ -211,6 +208,10 @@
         this.rolloutTask?.start();
     }
 
+    private get clientLoad(): ClientLoad {
+        return { connections: this.callerListener?.clientConnections ?? 0, buffered: this.bufferBudget.used };
+    }
+
     /** Whether the node accepts callers: it has a configuration and the node table, and is not stopping. */
     get isReady(): boolean {
         return this.stopping === undefined
@@ -241,7 +242,7 @@
             plans: this.plans,
             faults: this.faults,
             log: this.options.log,
-            clientConnections: this.callerListener?.clientConnections ?? 0,
+            clientConnections: this.clientLoad.connections,
         }));
     }
 
