--- a/coordination/rollouts/src/order.ts
+++ b/coordination/rollouts/src/order.ts
@@ -42,7 +42,12 @@
 
 /** Share of the calls that a version under test gets. */
 export function testShare(exposureShare: number): number {
-    return usedExposureShare * exposureShare;
+    return roundShare(usedExposureShare * exposureShare);
+}
+
+/** Rounds down to four decimals, which keeps the plan readable. */
+export function roundShare(share: number): number {
+    return Math.floor(share * 10_000 + Number.EPSILON) / 10_000;
 }
 
 /** Whether the plan carries out the order. */
--- a/coordination/rollouts/src/steps.ts
+++ b/coordination/rollouts/src/steps.ts
@@ -9,7 +9,7 @@
 import { maxRouteShares, RolloutPhase, type RolloutPlan, type RouteShare } from "@bilberrycroft/protocol.forwarding";
 import { countRuns, type ComparedTotals } from "./evidenceHistory";
 import { type Judgement, Sign, Verdict } from "./judgement";
-import { testShare } from "./order";
+import { roundShare, testShare } from "./order";
 
 export interface StepInput {
     readonly plan: RolloutPlan;
@@ -240,7 +240,7 @@
             routeShares.push({ route, share: rareRouteTestShare });
         }
     }
-    return { share: (share - partSum * rareRouteTestShare) / (1 - partSum), routeShares };
+    return { share: roundShare((share - partSum * rareRouteTestShare) / (1 - partSum)), routeShares };
 }
 
 /** Fields of a log line that say why a step was taken. */
