--- a/daemons/sidecar/test/rolloutTask.test.ts
+++ b/daemons/sidecar/test/rolloutTask.test.ts
@@ -13,7 +13,7 @@
     TargetPhase,
 } from "@bilberrycroft/protocol.forwarding";
 import { CollectionFault, MemoryCollection } from "@bilberrycroft/protocol.store";
-import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { describe, expect, it } from "vitest";
 import { CollectionTask } from "../src/tasks/collectionTask";
 import { RolloutTask } from "../src/tasks/rolloutTask";
 
@@ -156,15 +156,19 @@
     phases.map(phase => order.indexOf(phase))
         .every((position, index, all) => position >= (all[index - 1] ?? 0));
 
-describe("RolloutTask", () => {
-    let rollouts: Rollouts;
-
-    beforeEach(() => {
-        rollouts = new Rollouts();
-    });
-    afterEach(() => rollouts.stop());
+/** Tests wait for real time, so they run at the same time, each with rollouts of its own. */
+async function play(run: (rollouts: Rollouts) => Promise<void>): Promise<void> {
+    const rollouts = new Rollouts();
+    try {
+        await run(rollouts);
+    }
+    finally {
+        rollouts.stop();
+    }
+}
 
-    it("completes a good version and writes each step and status once", async () => {
+describe("RolloutTask", () => {
+    it.concurrent("completes a good version and writes each step and status once", () => play(async rollouts => {
         rollouts.startNode("n");
         rollouts.order("v2");
         await rollouts.waitFor(() => rollouts.status?.state === "running");
@@ -173,18 +177,18 @@
         expect(rollouts.phases).toEqual(expect.arrayContaining(order));
         expect(isForward(rollouts.phases)).toBe(true);
         expect(rollouts.orders.calls.replaceStatus).toBe(2);
-    });
+    }));
 
-    it("rolls back a version that fails", async () => {
+    it.concurrent("rolls back a version that fails", () => play(async rollouts => {
         rollouts.failureShare = 0.4;
         rollouts.startNode("n");
         rollouts.order("v2");
         await rollouts.waitFor(() => rollouts.status?.state === "rolled-back");
         expect(rollouts.plan).toMatchObject({ phase: RolloutPhase.RolledBack, share: 0 });
         expect(rollouts.phases).not.toContain(RolloutPhase.Shifting);
-    });
+    }));
 
-    it("writes a final status that its predecessor did not; guards against an order that stays running", async () => {
+    it.concurrent("writes a final status that its predecessor did not; guards against an order that stays running", () => play(async rollouts => {
         const plan = { version: "v2", versionsBefore: ["v1"], durationMs, phase: RolloutPhase.Completed, share: 1 };
         const rest = { service, orderRevision: 2, isWithdrawn: false, routeShares: [], elapsedMs: 5_000, writer: "dead" };
         rollouts.order("v2");
@@ -194,9 +198,9 @@
         rollouts.startNode("n");
         await rollouts.waitFor(() => rollouts.status?.state === "completed");
         expect(rollouts.plan?.writer).toBe("dead");
-    });
+    }));
 
-    it("finishes although the responses of its writes are lost; guards against a step that is done twice", async () => {
+    it.concurrent("finishes although the responses of its writes are lost; guards against a step that is done twice", () => play(async rollouts => {
         rollouts.startNode("n");
         rollouts.order("v2");
         await rollouts.waitFor(() => rollouts.plan !== undefined);
@@ -207,18 +211,18 @@
         const isEachOnce = [RolloutPhase.Shifting, RolloutPhase.Drained, RolloutPhase.Completed]
             .every(phase => rollouts.phases.filter(candidate => candidate === phase).length === 1);
         expect(isEachOnce).toBe(true);
-    });
+    }));
 
-    it("agrees with another node that acts at the same time, by the revisions of the plan", async () => {
+    it.concurrent("agrees with another node that acts at the same time, by the revisions of the plan", () => play(async rollouts => {
         rollouts.startNode("n");
         rollouts.startNode("m");
         rollouts.order("v2");
         await rollouts.waitFor(() => ["completed", "rolled-back"].includes(rollouts.status?.state ?? ""));
         expect(isForward(rollouts.phases)).toBe(true);
         expect(rollouts.status?.state).toBe("completed");
-    });
+    }));
 
-    it("changes nothing when it wakes after another node took over, and follows that node's plan", async () => {
+    it.concurrent("changes nothing when it wakes after another node took over, and follows that node's plan", () => play(async rollouts => {
         const frozen = rollouts.startNode("n");
         const successor = rollouts.startNode("m", 1);
         rollouts.order("v2");
@@ -234,9 +238,9 @@
         frozen.isFrozen = false;
         await rollouts.waitFor(() => rollouts.status?.state === "completed");
         expect(isForward(rollouts.phases)).toBe(true);
-    });
+    }));
 
-    it("is told of an order that the acting node does not see by its successor", async () => {
+    it.concurrent("is told of an order that the acting node does not see by its successor", () => play(async rollouts => {
         const acting = rollouts.startNode("n", 5);
         rollouts.startNode("m", 1);
         rollouts.order("v2");
@@ -244,17 +248,17 @@
         acting.position = 0;
         await rollouts.waitFor(() => rollouts.status?.state === "completed");
         expect(rollouts.plan?.writer).toBe("n");
-    });
+    }));
 
-    it("completes while nodes of another zone do not respond", async () => {
+    it.concurrent("completes while nodes of another zone do not respond", () => play(async rollouts => {
         rollouts.startNode("n");
         rollouts.order("v2");
         await rollouts.waitFor(() => rollouts.plan !== undefined);
         ["b:1", "d:1"].forEach(address => rollouts.silent.add(address));
         await rollouts.waitFor(() => rollouts.status?.state === "completed");
-    });
+    }));
 
-    it("begins anew against the versions before, when the order is replaced midway", async () => {
+    it.concurrent("begins anew against the versions before, when the order is replaced midway", () => play(async rollouts => {
         rollouts.startNode("n");
         rollouts.order("v2");
         await rollouts.waitFor(() => rollouts.status?.state === "running");
@@ -262,18 +266,18 @@
         await rollouts.waitFor(() => rollouts.status?.version === "v3");
         expect(rollouts.plan).toMatchObject({ version: "v3", versionsBefore: ["v1"], phase: RolloutPhase.Testing });
         await rollouts.waitFor(() => rollouts.status?.state === "completed");
-    });
+    }));
 
-    it("returns all calls to the versions before when the order is withdrawn", async () => {
+    it.concurrent("returns all calls to the versions before when the order is withdrawn", () => play(async rollouts => {
         rollouts.startNode("n");
         rollouts.order("v2");
         await rollouts.waitFor(() => rollouts.status?.state === "running");
         await rollouts.orders.remove(service, rollouts.orders.get(service)?.revision ?? 0);
         await rollouts.waitFor(() => rollouts.plan?.isWithdrawn === true);
         expect(rollouts.plan).toMatchObject({ phase: RolloutPhase.RolledBack, share: 0 });
-    });
+    }));
 
-    it("carries out an order late that it could not see, and rolls back one whose deadline passed meanwhile", async () => {
+    it.concurrent("carries out an order late that it could not see, and rolls back one whose deadline passed meanwhile", () => play(async rollouts => {
         rollouts.startNode("n");
         rollouts.orders.fault = CollectionFault.Unavailable;
         rollouts.order("v2");
@@ -287,13 +291,13 @@
         rollouts.orders.fault = CollectionFault.None;
         rollouts.plans.fault = CollectionFault.None;
         await rollouts.waitFor(() => rollouts.status?.state === "rolled-back");
-    });
+    }));
 
-    it("calls the store only for its watch while there is no order", async () => {
+    it.concurrent("calls the store only for its watch while there is no order", () => play(async rollouts => {
         rollouts.startNode("n");
         rollouts.startNode("x", 2);
         await new Promise(resolve => setTimeout(resolve, 3_000));
         expect(rollouts.orders.calls).toEqual({ read: 1, watch: 1 });
         expect(rollouts.plans.calls).toEqual({});
-    });
+    }));
 });
