--- a/daemons/node/test/faultMatrix/rolloutFaults.ts
+++ b/daemons/node/test/faultMatrix/rolloutFaults.ts
@@ -30,6 +30,7 @@
     createFault("acting node frozen, wakes", "its write fails, it follows", task, "changes nothing when it wakes after another node took over"),
     createFault("acting node's watch silent", "the successor begins the rollout", task, "is told of an order that the acting node does not see"),
     createFault("nodes of a zone do not respond", "completed for those in contact", task, "completes while nodes of another zone do not respond"),
+    createFault("nodes of a zone cannot be reached", "completed for those in contact", mesh, "completes for the nodes in contact while no node reaches those of one zone"),
     createFault("acting node hears of no node", "does not complete", steps, "does not complete a version if it hears of no node"),
     createFault("store away until after the deadline", "order not seen: carried out late; seen: rolled back", task, "carries out an order late that it could not see"),
     createFault("order replaced midway", "begins anew against the versions before", task, "begins anew against the versions before"),
