--- a/daemons/sidecar/src/tasks/rolloutTask.ts
+++ b/daemons/sidecar/src/tasks/rolloutTask.ts
@@ -65,6 +65,7 @@
 const watchers = 2;
 /** After this time without a plan, the successor takes the watch of the acting node for silent. */
 const unseenOrderMs: Milliseconds = 2_000;
+
 interface Order {
     /** Name of the object, which is that of the service. */
     readonly name: string;
