Let small organisations begin with a part of the reserve at a new accounting node

A new accounting node began with an empty bucket, which refuses the calls of an organisation with a few calls a second for up to a second after each restart of a node.

--- a/coordination/quotas/src/quotaBound.ts
+++ b/coordination/quotas/src/quotaBound.ts
@@ -47,11 +47,17 @@
     return Math.max(0, bound.overage * quota + bound.slack - spent - (computeCapacity(limit, bound) - limit.burst));
 }
 
+/** Part of the reserve that a new accounting node may grant at once; the rest is for a second change in a window. */
+const initialReserveShare = 0.5;
+
 /**
  * Tokens in the bucket of a new accounting node that grants a share of the rate; negative if the change itself may cost
- * more than the reserve.
+ * more than the reserve. Small organisations, for which a change costs little, begin with a part of the reserve, because
+ * an empty bucket would refuse their calls for as long as a second.
  */
 export function computeInitialTokens(limit: QuotaLimit, bound: QuotaBound, share: number): number {
     const handoverCalls = share * limit.callsPerSecond * handoverMs / millisecondsPerSecond;
-    return Math.min(0, computeReserve(limit, bound) - handoverCalls);
+    const reserve = computeReserve(limit, bound);
+    const spare = initialReserveShare * reserve - handoverCalls;
+    return spare > 0 ? Math.min(spare, computeCapacity(limit, bound)) : Math.min(0, reserve - handoverCalls);
 }
