Do not say not-run behind the response to a call

What was seen: with pipelined requests answered before the connection closes, malformed bytes behind a request get a 400 of their own after its response. daemons/node/test/responses.test.ts, 'does not report not-run for a call that runs', failed once beside load: the 400 said not-run, and a caller that takes the bytes for a part of the response would believe it.

Change: behind a response the 400 does not carry an outcome. As the only response of a connection it still does.

--- a/transport/calls/src/listener.ts
+++ b/transport/calls/src/listener.ts
@@ -168,6 +168,8 @@
 class OpenResponses {
     private readonly responses = new Map<Duplex, Set<ServerResponse>>();
     private readonly failed = new WeakSet<Duplex>();
+    /** Connections on which a response has been sent. */
+    private readonly answered = new WeakSet<Duplex>();
     private isClosing = false;
 
     add(socket: Duplex, response: ServerResponse): void {
@@ -176,6 +178,7 @@
         response.on("error", () => undefined);
         response.once("close", () => {
             open.delete(response);
+            this.answered.add(socket);
             if (this.isClosing && open.size === 0) {
                 socket.end();
             }
@@ -204,7 +207,10 @@
             this.failed.add(socket);
             // Each further read would be an error again.
             socket.pause();
-            this.whenComplete(socket, () => endMalformed(socket, this.canSendError(socket)));
+            this.whenComplete(socket, () => endMalformed(socket, {
+                canSendError: this.canSendError(socket),
+                isFirstResponse: !this.answered.has(socket),
+            }));
         }
     }
 
@@ -258,8 +264,14 @@
     return !response.shouldKeepAlive || response.getHeader("connection") === "close";
 }
 
-/** Closes a connection, with a response to its last bytes if that cannot be misunderstood. */
-function endMalformed(socket: Duplex, canSendError: boolean): void {
+/**
+ * Closes a connection, with a response to its last bytes if that cannot be misunderstood. Behind the response to a call
+ * it does not say that a call has not run, because the caller might take it for a part of that response.
+ */
+function endMalformed(
+    socket: Duplex,
+    { canSendError, isFirstResponse }: { readonly canSendError: boolean; readonly isFirstResponse: boolean },
+): void {
     if (!socket.writable) {
         // It already closes after its last response.
         return;
@@ -268,7 +280,8 @@
         socket.destroy();
         return;
     }
-    socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\nx-mesh-outcome: not-run\r\n\r\n");
+    const outcome = isFirstResponse ? "x-mesh-outcome: not-run\r\n" : "";
+    socket.end(`HTTP/1.1 400 Bad Request\r\nconnection: close\r\n${outcome}\r\n`);
 }
 
 function formatAddress(server: Server): string {
