Offer a lost call to a target that was only too busy for a second run

Cause: a hedged offer asks for a free slot only. A target that refuses it counted as tried, so that a call whose first run was lost afterwards ended with 502 although that target could have queued it.

Ruled out: offering the hedge again while the first run goes on; docs/measurements.md lists it as tried, with more late calls. The target is tried again only when no run is left and no other target.

Test: callPlan.test.ts, 'offers a lost call to a target that refused it for a free slot'.

--- a/coordination/forwarding/src/callPlan.ts
+++ b/coordination/forwarding/src/callPlan.ts
@@ -58,6 +58,8 @@
 export class CallPlan {
     private readonly attempts = new Map<number, AttemptState>();
     private readonly triedNodes = new Set<string>();
+    /** Tried nodes that refused the call only because no slot was free for a second run. */
+    private readonly nodesWithoutSpareSlot = new Set<string>();
     private attemptCount = 0;
     private refusedOffers = 0;
     private targetsUsed = 0;
@@ -213,7 +215,17 @@
         if (!maySend || this.isPastDeadline()) {
             return this.endWithFailure();
         }
-        return this.offerWithBudget(false) ?? this.endWithFailure();
+        return this.offerWithBudget(false) ?? this.offerToBusyNode() ?? this.endWithFailure();
+    }
+
+    /** No run is left beside which a free slot was wanted, so a target that may queue the call is better than none. */
+    private offerToBusyNode(): PlanAction[] | undefined {
+        if (this.nodesWithoutSpareSlot.size === 0) {
+            return undefined;
+        }
+        this.nodesWithoutSpareSlot.forEach(node => this.triedNodes.delete(node));
+        this.nodesWithoutSpareSlot.clear();
+        return this.offerWithBudget(false);
     }
 
     private offerWithBudget(spareOnly: boolean): PlanAction[] | undefined {
@@ -262,6 +274,9 @@
         const { priority, isInner } = this.call;
         this.refusedOffers++;
         this.recordRefusal(refusal);
+        if (spareOnly) {
+            this.nodesWithoutSpareSlot.add(node);
+        }
         // Inner calls are queued past their objective, and an offer for a free slot is not queued at all: refusals of
         // either say little about other calls.
         if (refusal.reason === CallReason.Overloaded && !isInner && !spareOnly) {
--- a/coordination/forwarding/test/callPlan.test.ts
+++ b/coordination/forwarding/test/callPlan.test.ts
@@ -95,6 +95,21 @@
     });
 
     describe("after the grant", () => {
+        // Guards against a call that ends without a response although the target that was only busy may still run it.
+        it("offers a lost call to a target that refused it for a free slot, if no other is left", () => {
+            const plan = createPlan({ ...repeatableRoute, maxTargets: 4 });
+            plan.start();
+            plan.handleGranted(1);
+            const [hedge] = plan.handleWakeUp();
+            expect(hedge).toMatchObject({ kind: PlanActionKind.Offer, attempt: 2, spareOnly: true });
+            expect(plan.handleAttemptEnd(2, overloaded)).toEqual([]);
+            expect(kinds(plan.handleAttemptEnd(1, lost))).toEqual([PlanActionKind.Offer]);
+            plan.handleGranted(3);
+            const { node } = (hedge as Extract<PlanAction, { kind: PlanActionKind.Offer }>).candidate;
+            expect(plan.handleAttemptEnd(3, lost))
+                .toMatchObject([{ kind: PlanActionKind.Offer, candidate: { node }, spareOnly: false }]);
+        });
+
         it("resends a call that is not repeatable only if the target reports that it did not run it", () => {
             const lostPlan = createPlan(onceRoute);
             lostPlan.start();
