Recognize calls that a full target leaves without a response

Cause: targets of some services never respond to a request that they cannot queue. Such a call waited until its deadline, counted as a failure of the target, and nothing was learned from it.

Ruled out: probes on the silent or on a new connection (they take a place or are lost as well), a fixed timeout for the first byte (run times of routes differ too much); see docs/design/silent-targets.md.

Change: the target's node takes a call as unqueued if no byte of it arrived, it outlasts by far what its route takes, and other calls end. A repeatable call is reported as lost and goes to a second target; any other keeps its connection until its deadline and gets 504. Neither counts as a failure. The number of calls that the target accepts is learned.

Before, silentTargets.test.ts on the previous code: 3 of 7 tests fail (responses of repeatable calls, number of calls learned, record of a silent call). After: 7 of 7 pass, also unansweredCalls.test.ts (7) and calls.test.ts.

Conclusion: no timer, frame or probe is added.

--- a/coordination/forwarding/src/targetQueue.ts
+++ b/coordination/forwarding/src/targetQueue.ts
@@ -10,8 +10,10 @@
 import type { Random } from "@bilberrycroft/core.random";
 import { CallReason } from "@bilberrycroft/protocol.calls";
 import { TargetAvailability, type TargetLoad } from "@bilberrycroft/protocol.forwarding";
+import { AcceptedCalls } from "./acceptedCalls";
 import { RequestLimit } from "./requestLimit";
 import { RunTimeEstimates } from "./runTimes";
+import { UnansweredCalls } from "./unansweredCalls";
 
 /** A call offered by another node. */
 export interface OfferedCall {
@@ -60,6 +62,8 @@
     Shed = "shed",
     /** No usable response arrived. */
     Broken = "broken",
+    /** No byte of a response arrived, and the target has probably never queued the call because it was full. */
+    Unqueued = "unqueued",
     /** The call was cancelled before it ended. */
     Cancelled = "cancelled",
 }
@@ -97,6 +101,8 @@
     readonly route: string;
     readonly startedAt: Milliseconds;
     readonly transferMs: Milliseconds;
+    /** Calls that ran when this one started, itself included. */
+    readonly place: number;
 }
 
 export class TargetQueue {
@@ -106,11 +112,21 @@
     private slots = 0;
     private availability = TargetAvailability.Down;
     private failureShare = 0;
+    private readonly unanswered: UnansweredCalls;
+    private readonly accepted: AcceptedCalls;
     /** Limit that the target names. */
     readonly limit: RequestLimit;
 
     constructor(private readonly options: TargetQueueOptions) {
         this.limit = new RequestLimit(options.clock);
+        this.unanswered = new UnansweredCalls(options.clock, this.runTimes);
+        this.accepted = new AcceptedCalls(options.clock);
+    }
+
+    /** Forgets what was learned of the target, because it was replaced. */
+    handleReplacement(): void {
+        this.limit.reset();
+        this.accepted.reset();
     }
 
     /** Updates the target's slots and availability; returns the queued calls that are now granted or refused. */
@@ -159,8 +175,12 @@
             return [];
         }
         this.running.delete(callId);
+        this.unanswered.recordEnd(callId, result === RunResult.Answered || result === RunResult.Failed);
+        if (result === RunResult.Unqueued) {
+            this.accepted.recordOverflow(call.place - 1, call.startedAt);
+        }
         // Neither a full target nor a cancelled call is a failure of the target.
-        if (result !== RunResult.Cancelled && result !== RunResult.Shed) {
+        if (result !== RunResult.Cancelled && result !== RunResult.Shed && result !== RunResult.Unqueued) {
             const failed = result === RunResult.Answered ? 0 : 1;
             this.failureShare += failureEwmaWeight * (failed - this.failureShare);
         }
@@ -170,6 +190,23 @@
         return this.startNext();
     }
 
+    /** The target has shown by an inner call that it runs the call. */
+    recordProgress(callId: string): void {
+        this.unanswered.recordProgress(callId);
+    }
+
+    /** Running calls that the target has probably never queued; `hasProgress` tells whether any byte has arrived. */
+    findUnanswered(hasProgress: (callId: string) => boolean): string[] {
+        return this.unanswered.findOverdue(hasProgress);
+    }
+
+    /** A call that was ended as `Unqueued` has got its response after all. */
+    retractUnqueued(route: string, runMs: Milliseconds): QueueEvent[] {
+        this.unanswered.recordLateResponse(route, runMs);
+        this.accepted.reset();
+        return this.startNext();
+    }
+
     /** Removes a queued call that was withdrawn by its caller. */
     cancel(callId: string): void {
         this.queue = this.queue.filter(({ call }) => call.callId !== callId);
@@ -200,6 +237,11 @@
         return this.queue.length;
     }
 
+    /** Number of calls that the target may run at once: its slots, or fewer if it has been found to accept fewer. */
+    get usableSlots(): number {
+        return this.accepted.limitWithin(this.slots);
+    }
+
     /** Load report for a response to a call on the route. */
     load(route: string, transferMs: Milliseconds): TargetLoad {
         return {
@@ -217,7 +259,9 @@
 
     private grant(call: OfferedCall): Extract<OfferDecision, { kind: OfferDecisionKind.Granted }> {
         const { route, transferMs } = call;
-        this.running.set(call.callId, { route, startedAt: this.options.clock.now(), transferMs });
+        const place = this.running.size + 1;
+        this.running.set(call.callId, { route, startedAt: this.options.clock.now(), transferMs, place });
+        this.unanswered.recordStart(call.callId, { route, deadlineAt: call.deadlineAt, place });
         return { kind: OfferDecisionKind.Granted, callId: call.callId };
     }
 
@@ -232,7 +276,7 @@
 
     /** Whether one more call may start now; takes it from the limit. */
     private mayStart(): boolean {
-        return this.running.size < this.slots && this.limit.tryTake();
+        return this.running.size < this.usableSlots && this.limit.tryTake();
     }
 
     private dequeueNext(): OfferedCall {
@@ -305,7 +349,7 @@
 
     /** Expected time until the given number of queued calls have started. */
     private startDelayMs(calls: number): Milliseconds {
-        return Math.max(calls * this.runTimes.meanMs / Math.max(1, this.slots), this.limit.delayMs(calls));
+        return Math.max(calls * this.runTimes.meanMs / Math.max(1, this.usableSlots), this.limit.delayMs(calls));
     }
 
     private unavailableReason(): CallReason {
--- a/daemons/sidecar/src/calls/targetCall.ts
+++ b/daemons/sidecar/src/calls/targetCall.ts
@@ -68,6 +68,7 @@
     private attempt: Attempt | undefined;
     private sentAt: Milliseconds = 0;
     private isCancelled = false;
+    private isUnqueued = false;
     private hasResponded = false;
     private forwardedBytes = 0;
     private flushed: Promise<void> = Promise.resolve();
@@ -104,6 +105,33 @@
         return result;
     }
 
+    get route(): string {
+        return this.call.incoming.message.offer.route;
+    }
+
+    /** Time since the call was sent. */
+    get ageMs(): Milliseconds {
+        return this.services.clock.now() - this.sentAt;
+    }
+
+    /** Whether any part of the response has arrived, an informational response included. */
+    get hasProgress(): boolean {
+        return this.hasResponded || this.attempt?.hasReceivedBytes() === true;
+    }
+
+    /**
+     * The target has probably never queued the call and will not respond on its connection. A repeatable call is
+     * cancelled, so that it is offered to another target; any other may have run and keeps its connection until its
+     * deadline.
+     */
+    handleUnqueued(): void {
+        this.isUnqueued = true;
+        this.log("call-unqueued", this.call.incoming.message.offer.repeatable ? "cancelled" : "kept until its deadline");
+        if (this.call.incoming.message.offer.repeatable) {
+            this.cancel();
+        }
+    }
+
     /** Bytes of the response body forwarded so far. */
     get responseBytes(): number {
         return this.forwardedBytes;
@@ -131,7 +159,7 @@
     }
 
     private async handleEvent(event: AttemptEvent): Promise<RunResult> {
-        const { services, call } = this;
+        const { services } = this;
         switch (event.kind) {
             case AttemptEventKind.Responded:
                 return this.handleResponse(event);
@@ -146,13 +174,22 @@
                 this.handleBrokenConnection(event.reason);
                 return RunResult.Broken;
             case AttemptEventKind.Cancelled:
-                this.reportLoss(CallReason.TimedOut);
-                return services.clock.now() >= call.deadlineAt ? RunResult.Broken : RunResult.Cancelled;
+                return this.handleCancelled();
             default:
                 return assertNever(event);
         }
     }
 
+    private handleCancelled(): RunResult {
+        const isPastDeadline = this.services.clock.now() >= this.call.deadlineAt;
+        if (this.isUnqueued) {
+            this.reportLoss(this.call.incoming.message.offer.repeatable ? CallReason.AnswerLost : CallReason.TimedOut);
+            return RunResult.Unqueued;
+        }
+        this.reportLoss(CallReason.TimedOut);
+        return isPastDeadline ? RunResult.Broken : RunResult.Cancelled;
+    }
+
     private async handleResponse(event: ResponseEvent): Promise<RunResult> {
         const { services } = this;
         const { offer } = this.call.incoming.message;
--- a/daemons/sidecar/src/tasks/targetTask.ts
+++ b/daemons/sidecar/src/tasks/targetTask.ts
@@ -63,6 +63,12 @@
     bodyTimer: NodeJS.Timeout | undefined;
 }
 
+interface RunningCall {
+    /** Key of the offer in the queue. */
+    readonly key: string;
+    readonly offer: Offer;
+}
+
 interface TimedBrokenConnection extends BrokenConnection {
     /** Wall time at which the connection broke. */
     readonly at: Milliseconds;
@@ -71,7 +77,11 @@
 export class TargetTask {
     private readonly pending = new Map<string, PendingOffer>();
     /** Calls running in the target, by call identifier. */
-    private readonly running = new Map<string, Offer>();
+    private readonly running = new Map<string, RunningCall>();
+    /** Running calls by the key of their offer. */
+    private readonly callsByKey = new Map<string, TargetCall>();
+    /** Calls in progress that have left the queue because the target has probably never queued them, by key. */
+    private readonly unqueued = new Map<string, { readonly call: TargetCall; readonly route: string }>();
     private readonly services: TargetServices;
     private readonly responseSizes = new ResponseSizes();
     private responsesInFlight = 0;
@@ -79,6 +89,7 @@
     private queueTimer: NodeJS.Timeout | undefined;
     private offerCount = 0;
     private isStopping = false;
+    private isCheckScheduled = false;
     private brokenConnections: TimedBrokenConnection[] = [];
     private lastTargetState = "";
     private callsSent = 0;
@@ -109,7 +120,10 @@
 
     start(): void {
         this.availabilityTimer = setInterval(
-            () => this.options.faults.run("availability-timer", {}, () => this.updateAvailability()),
+            () => this.options.faults.run("availability-timer", {}, () => {
+                this.updateAvailability();
+                this.checkUnansweredCalls();
+            }),
             availabilityCheckIntervalMs,
         );
     }
@@ -121,7 +135,8 @@
 
     /** Number of running and queued calls, plus responses not fully sent yet. */
     get inProgress(): number {
-        return this.options.queue.runningCalls + this.options.queue.queuedCalls + this.responsesInFlight;
+        const { runningCalls, queuedCalls } = this.options.queue;
+        return runningCalls + queuedCalls + this.unqueued.size + this.responsesInFlight;
     }
 
     /** Number of calls sent to the target since the start. */
@@ -149,7 +164,7 @@
         const incarnation = `${announced?.id} ${announced?.startedAt}`;
         if (incarnation !== this.lastIncarnation) {
             this.lastIncarnation = incarnation;
-            queue.limit.reset();
+            queue.handleReplacement();
         }
         const targetState = `${announced?.id} ${availability} ${slots}`;
         if (targetState !== this.lastTargetState) {
@@ -159,9 +174,13 @@
         }
     }
 
-    /** Returns the call with this identifier if it is running in the target. */
+    /** Returns the parent of an inner call if it is running in the target, which the inner call shows. */
     findRunningCall(callId: string): Offer | undefined {
-        return this.running.get(callId);
+        const parent = this.running.get(callId);
+        if (parent !== undefined) {
+            this.options.queue.recordProgress(parent.key);
+        }
+        return parent?.offer;
     }
 
     /** Returns the load and the state versions of this node. */
@@ -191,6 +210,7 @@
             this.options.queue.limit.adopt(offer.targetCallsPerSecond);
             this.logLimit("peer");
         }
+        this.checkUnansweredCalls();
         const now = this.options.clock.now();
         const key = `${offer.callId} ${++this.offerCount}`;
         const deadlineAt = now + offer.deadlineMs;
@@ -272,7 +292,7 @@
         const { incoming } = pending;
         const { callId, route } = incoming.message.offer;
         void this.options.faults.runAsync("target-call", { call: callId, route }, () => this.runCall(key, pending, body), () => {
-            this.running.delete(callId);
+            this.removeCall(key, callId);
             incoming.reportLoss({ reason: CallReason.AnswerLost, report: this.createReport(route) });
             this.handleFinished(key, RunResult.Broken);
         });
@@ -280,15 +300,16 @@
 
     private async runCall(key: string, { incoming, deadlineAt }: PendingOffer, body: Buffer): Promise<void> {
         const { offer } = incoming.message;
-        this.running.set(offer.callId, offer);
+        this.running.set(offer.callId, { key, offer });
         const targetStartedAt = this.options.target.announced?.startedAt ?? 0;
         const call = new TargetCall({ incoming, body, deadlineAt, targetStartedAt }, this.services);
+        this.callsByKey.set(key, call);
         incoming.observe({
             onBody: () => undefined,
             onWithdrawn: () => call.handleWithdrawal(),
         });
         const result = await call.run();
-        this.running.delete(offer.callId);
+        this.removeCall(key, offer.callId);
         this.responsesInFlight++;
         void call.whenFlushed().then(() => {
             this.responsesInFlight--;
@@ -301,7 +322,50 @@
     }
 
     private handleFinished(key: string, result: RunResult): void {
-        this.applyQueueEvents(this.options.queue.finish(key, result));
+        const { queue } = this.options;
+        const unqueued = this.unqueued.get(key);
+        if (unqueued === undefined) {
+            this.applyQueueEvents(queue.finish(key, result));
+            this.checkUnansweredCalls();
+            return;
+        }
+        this.unqueued.delete(key);
+        if (result === RunResult.Answered || result === RunResult.Failed) {
+            this.applyQueueEvents(queue.retractUnqueued(unqueued.route, unqueued.call.ageMs));
+        }
+    }
+
+    private removeCall(key: string, callId: string): void {
+        this.running.delete(callId);
+        this.callsByKey.delete(key);
+    }
+
+    /**
+     * Ends the calls that the target has probably never queued; those of which a byte has arrived go on. This happens
+     * in a turn of its own, after the responses that have arrived meanwhile are read.
+     */
+    private checkUnansweredCalls(): void {
+        if (this.isCheckScheduled || this.running.size === 0) {
+            return;
+        }
+        this.isCheckScheduled = true;
+        setImmediate(() => {
+            this.isCheckScheduled = false;
+            this.options.faults.run("unanswered-calls", {}, () => this.endUnansweredCalls());
+        });
+    }
+
+    private endUnansweredCalls(): void {
+        const { queue } = this.options;
+        for (const key of queue.findUnanswered(callId => this.callsByKey.get(callId)?.hasProgress === true)) {
+            const call = this.callsByKey.get(key);
+            if (call === undefined) {
+                continue;
+            }
+            this.unqueued.set(key, { call, route: call.route });
+            call.handleUnqueued();
+            this.applyQueueEvents(queue.finish(key, RunResult.Unqueued));
+        }
     }
 
     private handleWithdrawal(key: string): void {
--- a/transport/calls/src/targetClient.ts
+++ b/transport/calls/src/targetClient.ts
@@ -5,6 +5,7 @@
  * never read as the response to another call.
  */
 import { Agent, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage, request, type RequestOptions } from "node:http";
+import type { Socket } from "node:net";
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import { describeInvalidHeader } from "@bilberrycroft/protocol.calls";
 import { splitAddress } from "./addresses";
@@ -63,6 +64,11 @@
     readonly event: Promise<AttemptEvent>;
     /** Time that it took to establish the connection; `undefined` before that and for a reused connection. */
     connectMs(): Milliseconds | undefined;
+    /**
+     * Whether any byte has arrived since the attempt was sent, for example an informational response or the start of a
+     * head.
+     */
+    hasReceivedBytes(): boolean;
     /** Cancels the attempt and destroys its connection. */
     cancel(): void;
 }
@@ -105,6 +111,7 @@
         return {
             event,
             connectMs: () => connection.connectMs,
+            hasReceivedBytes: () => (connection.socket?.bytesRead ?? 0) > connection.bytesReadBefore,
             cancel: () => clientRequest.destroy(new CancelledAttempt()),
         };
     }
@@ -133,11 +140,16 @@
 interface Connection {
     isConnected: boolean;
     connectMs: Milliseconds | undefined;
+    socket: Socket | undefined;
+    /** Bytes of earlier responses on the connection. */
+    bytesReadBefore: number;
 }
 
 function observeConnection(clientRequest: ClientRequest, clock: Clock): Connection {
-    const connection: Connection = { isConnected: false, connectMs: undefined };
+    const connection: Connection = { isConnected: false, connectMs: undefined, socket: undefined, bytesReadBefore: 0 };
     clientRequest.on("socket", socket => {
+        connection.socket = socket;
+        connection.bytesReadBefore = socket.bytesRead;
         connection.isConnected = !socket.connecting;
         if (socket.connecting) {
             const startedAt = clock.now();
