Learn how many calls a target handles well at once

Cause: some targets slow down long before all their slots are in use.

Change: ConcurrencyLimit in place of the plain slots of TargetQueue. Rising run times are a hint; a lower limit is tried in alternating periods and kept only if calls earn more under it. TargetLoad.usableSlots reports the learned limit; it is omitted where it equals the slots.

Learning takes tens of seconds and growth back minutes; it has not been played on a deployment.

--- a/coordination/forwarding/src/targetQueue.ts
+++ b/coordination/forwarding/src/targetQueue.ts
@@ -11,6 +11,7 @@
 import { CallReason } from "@bilberrycroft/protocol.calls";
 import { TargetAvailability, type TargetLoad } from "@bilberrycroft/protocol.forwarding";
 import { AcceptedCalls } from "./acceptedCalls";
+import { ConcurrencyLimit, type SlotLimit } from "./concurrencyLimit";
 import { RequestLimit } from "./requestLimit";
 import { RunTimeEstimates } from "./runTimes";
 import { UnansweredCalls } from "./unansweredCalls";
@@ -73,6 +74,8 @@
     readonly random: Random;
     /** Time until all responses that are queued for this host's link are sent. */
     linkBacklogMs(): Milliseconds;
+    /** Number of calls to run at once; learned by default. */
+    readonly slotLimit?: SlotLimit;
 }
 
 /** Maximum queue length; calls in a longer queue could not finish in time. */
@@ -95,6 +98,13 @@
     readonly call: OfferedCall;
     /** Time from which the call can no longer finish in time. */
     readonly refuseAt: Milliseconds;
+    readonly arrival: Arrival;
+}
+
+/** When a call was offered, and in which period of the learned limit. */
+interface Arrival {
+    readonly at: Milliseconds;
+    readonly period: number;
 }
 
 interface RunningCall {
@@ -103,6 +113,9 @@
     readonly transferMs: Milliseconds;
     /** Calls that ran when this one started, itself included. */
     readonly place: number;
+    readonly objectiveAt: Milliseconds;
+    readonly arrival: Arrival;
+    hasInnerCalls: boolean;
 }
 
 export class TargetQueue {
@@ -114,6 +127,7 @@
     private failureShare = 0;
     private readonly unanswered: UnansweredCalls;
     private readonly accepted: AcceptedCalls;
+    private readonly slotLimit: SlotLimit;
     /** Limit that the target names. */
     readonly limit: RequestLimit;
 
@@ -121,12 +135,14 @@
         this.limit = new RequestLimit(options.clock);
         this.unanswered = new UnansweredCalls(options.clock, this.runTimes);
         this.accepted = new AcceptedCalls(options.clock);
+        this.slotLimit = options.slotLimit ?? new ConcurrencyLimit(options.clock);
     }
 
     /** Forgets what was learned of the target, because it was replaced. */
     handleReplacement(): void {
         this.limit.reset();
         this.accepted.reset();
+        this.slotLimit.reset();
     }
 
     /** Updates the target's slots and availability; returns the queued calls that are now granted or refused. */
@@ -153,8 +169,9 @@
         if (sendAfterRunMs > 0 && now + this.expectedRunMs(call) + sendAfterRunMs > call.deadlineAt) {
             return this.refuse(call, CallReason.Overloaded);
         }
+        const arrival = { at: now, period: this.slotLimit.period };
         if (this.queue.length === 0 && this.mayStart()) {
-            return this.grant(call);
+            return this.grant(call, arrival);
         }
         if (call.spareOnly || this.queue.length >= maxQueuedCalls) {
             return this.refuse(call, CallReason.Overloaded);
@@ -164,7 +181,8 @@
         if (now + expectedWaitMs + this.expectedRunMs(call) + sendMs > this.latestEndAt(call, now)) {
             return this.refuse(call, CallReason.Overloaded);
         }
-        this.queue.push({ call, refuseAt: this.latestEndAt(call, now) - this.expectedRunMs(call) - call.transferMs });
+        const refuseAt = this.latestEndAt(call, now) - this.expectedRunMs(call) - call.transferMs;
+        this.queue.push({ call, refuseAt, arrival });
         return { kind: OfferDecisionKind.Queued, callId: call.callId, expectedWaitMs };
     }
 
@@ -185,13 +203,31 @@
             this.failureShare += failureEwmaWeight * (failed - this.failureShare);
         }
         if (result === RunResult.Answered) {
-            this.runTimes.add(call.route, this.options.clock.now() - call.startedAt);
+            this.recordRun(call);
         }
         return this.startNext();
     }
 
+    private recordRun({ route, startedAt, place, objectiveAt, arrival, hasInnerCalls }: RunningCall): void {
+        const now = this.options.clock.now();
+        this.runTimes.add(route, now - startedAt);
+        this.slotLimit.recordRun({
+            route,
+            runMs: now - startedAt,
+            running: place,
+            hasInnerCalls,
+            period: arrival.period,
+            isInTime: now <= objectiveAt,
+            objectiveMs: objectiveAt - arrival.at,
+        });
+    }
+
     /** The target has shown by an inner call that it runs the call. */
     recordProgress(callId: string): void {
+        const call = this.running.get(callId);
+        if (call !== undefined) {
+            call.hasInnerCalls = true;
+        }
         this.unanswered.recordProgress(callId);
     }
 
@@ -237,9 +273,14 @@
         return this.queue.length;
     }
 
-    /** Number of calls that the target may run at once: its slots, or fewer if it has been found to accept fewer. */
+    /** Number of calls that the target may run at once: its slots, or fewer if it was found to handle fewer well. */
     get usableSlots(): number {
-        return this.accepted.limitWithin(this.slots);
+        return this.accepted.limitWithin(this.slotLimit.limitWithin(this.slots));
+    }
+
+    /** The same without a limit that is only being tried. */
+    get learnedSlots(): number {
+        return this.accepted.limitWithin(this.slotLimit.learnedWithin(this.slots));
     }
 
     /** Load report for a response to a call on the route. */
@@ -249,6 +290,7 @@
             running: this.running.size,
             queued: this.queue.length,
             slots: this.slots,
+            ...this.learnedSlots < this.slots && { usableSlots: this.learnedSlots },
             runTimeMs: this.runTimes.expectedMs(route),
             sendMs: this.expectedSendMs(transferMs, this.runTimes.expectedMs(route)),
             meanRunTimeMs: this.runTimes.meanMs,
@@ -257,10 +299,12 @@
         };
     }
 
-    private grant(call: OfferedCall): Extract<OfferDecision, { kind: OfferDecisionKind.Granted }> {
-        const { route, transferMs } = call;
+    private grant(call: OfferedCall, arrival: Arrival): Extract<OfferDecision, { kind: OfferDecisionKind.Granted }> {
+        const { route, transferMs, objectiveAt } = call;
         const place = this.running.size + 1;
-        this.running.set(call.callId, { route, startedAt: this.options.clock.now(), transferMs, place });
+        const startedAt = this.options.clock.now();
+        const running = { route, startedAt, transferMs, place, objectiveAt, arrival, hasInnerCalls: false };
+        this.running.set(call.callId, running);
         this.unanswered.recordStart(call.callId, { route, deadlineAt: call.deadlineAt, place });
         return { kind: OfferDecisionKind.Granted, callId: call.callId };
     }
@@ -269,7 +313,7 @@
         const events = this.expireQueued();
         while (this.queue.length > 0 && this.mayStart()) {
             const next = this.dequeueNext();
-            events.push(this.grant(next));
+            events.push(this.grant(next.call, next.arrival));
         }
         return events;
     }
@@ -279,7 +323,7 @@
         return this.running.size < this.usableSlots && this.limit.tryTake();
     }
 
-    private dequeueNext(): OfferedCall {
+    private dequeueNext(): QueuedCall {
         const now = this.options.clock.now();
         let best = 0;
         for (let index = 1; index < this.queue.length; index++) {
@@ -287,7 +331,7 @@
                 best = index;
             }
         }
-        return (this.queue.splice(best, 1)[0] as QueuedCall).call;
+        return this.queue.splice(best, 1)[0] as QueuedCall;
     }
 
     /**
--- a/coordination/forwarding/test/loadPlay.ts
+++ b/coordination/forwarding/test/loadPlay.ts
@@ -12,6 +12,7 @@
     RetryBudgets,
     RouteLatencyTable,
     RunResult,
+    type SlotLimit,
     TargetDirectory,
     TargetQueue,
 } from "@bilberrycroft/coordination.forwarding";
@@ -19,6 +20,7 @@
 import { createSeededRandom, type Random } from "@bilberrycroft/core.random";
 import { TargetAvailability, TargetPhase } from "@bilberrycroft/protocol.forwarding";
 import type { Route } from "@bilberrycroft/state.routes";
+import type { RunTimeFactor } from "./targetModels";
 
 export interface PlayedLoad {
     readonly seed: number;
@@ -34,6 +36,16 @@
     readonly deadlineMs: Milliseconds;
     /** Whether the objective of a call that returns counts from its caller's first attempt, as `CallerAges` tells. */
     readonly tracksAges: boolean;
+    /** Run time of a call as a multiple of the usual one; 1 by default. */
+    readonly runTimeFactor?: RunTimeFactor;
+    /** Load at a time as a multiple of `loadFactor`; at most 2. */
+    loadAt?(at: Milliseconds): number;
+    /** Share of the calls that are of a second route, whose runs take six times as long. */
+    readonly heavyShare?: number;
+    /** Time for which each run waits for inner calls elsewhere, and whether it shows in the run time only later. */
+    innerWaitMsAt?(at: Milliseconds): Milliseconds;
+    /** Creates what decides how many calls a target runs at once; learned by default. */
+    createSlotLimit?(clock: ManualClock): SlotLimit;
     /** Limit that a target names in a response at the given time, in calls per second. */
     limitOf?(target: number, at: Milliseconds): number | undefined;
 }
@@ -51,6 +63,11 @@
     readonly refusalTimesMs: readonly Milliseconds[];
     /** Times at which calls reached each target. */
     readonly arrivals: readonly (readonly Milliseconds[])[];
+    /** Calls in time by route. */
+    readonly inTimeByRoute: ReadonlyMap<string, number>;
+    /** Lowest number of calls that each target was allowed to run at once, and the last. */
+    readonly lowestSlots: readonly number[];
+    readonly lastSlots: readonly number[];
 }
 
 interface PlayedCall {
@@ -58,6 +75,9 @@
     readonly attemptedAt: Milliseconds;
     readonly caller: number;
     readonly mayReturn: boolean;
+    readonly route: Route;
+    readonly deadlineMs: Milliseconds;
+    readonly runMs: Milliseconds;
 }
 
 type QueueRefusal = Extract<QueueEvent, { kind: OfferDecisionKind.Refused }>;
@@ -69,6 +89,9 @@
 const runTimeSigma = 0.4;
 /** Callers honour `Retry-After` up to this share of their remaining time. */
 const maxReturnShare = 1 / 3;
+/** Run time, objective and deadline of the second route, compared with the first. */
+const heavyFactor = 6;
+const highestLoad = 2;
 
 export class LoadPlay {
     private readonly clock = new ManualClock();
@@ -85,6 +108,8 @@
     private readonly result = { asked: 0, inTime: 0, late: 0, refused: 0, offers: 0, busyMs: 0 };
     private readonly refusalTimesMs: Milliseconds[] = [];
     private readonly arrivals: Milliseconds[][];
+    private readonly inTimeByRoute = new Map<string, number>();
+    private readonly lowestSlots: number[];
 
     constructor(private readonly load: PlayedLoad) {
         this.random = createSeededRandom(load.seed);
@@ -103,8 +128,10 @@
             return directory;
         });
         this.arrivals = entries.map(() => []);
+        this.lowestSlots = entries.map(() => load.slots);
         this.queues = entries.map(() => {
-            const queue = new TargetQueue({ clock, random, linkBacklogMs: () => 0 });
+            const slotLimit = load.createSlotLimit?.(clock);
+            const queue = new TargetQueue({ clock, random, linkBacklogMs: () => 0, ...slotLimit && { slotLimit } });
             queue.setTarget({ slots: load.slots, availability: TargetAvailability.Serving });
             return queue;
         });
@@ -113,13 +140,15 @@
     }
 
     run(): PlayedResult {
-        const { durationMs, targets, slots, runMs, loadFactor, callerNodes } = this.load;
-        const perMs = loadFactor * targets * slots / runMs;
+        const { durationMs, targets, slots, runMs, loadFactor, loadAt, heavyShare = 0 } = this.load;
+        const meanRunMs = runMs * (1 + heavyShare * (heavyFactor - 1));
+        const perMs = loadFactor * targets * slots / meanRunMs * (loadAt === undefined ? 1 : highestLoad);
         const arrive = (): void => {
             const at = this.clock.now();
-            const caller = Math.floor(this.random.nextFraction() * callerNodes);
-            this.result.asked++;
-            this.startCall({ askedAt: at, attemptedAt: at, caller, mayReturn: true });
+            // Arrivals at the highest rate are thinned to the present one.
+            if (loadAt === undefined || this.random.nextFraction() < loadAt(at) / highestLoad) {
+                this.ask(at);
+            }
             const nextAt = at - Math.log(1 - this.random.nextFraction()) / perMs;
             if (nextAt < durationMs) {
                 this.schedule(nextAt, arrive);
@@ -132,7 +161,32 @@
         }
         const { busyMs, ...result } = this.result;
         const utilization = busyMs / (durationMs * targets * slots);
-        return { ...result, utilization, refusalTimesMs: this.refusalTimesMs, arrivals: this.arrivals };
+        return {
+            ...result,
+            utilization,
+            refusalTimesMs: this.refusalTimesMs,
+            arrivals: this.arrivals,
+            inTimeByRoute: this.inTimeByRoute,
+            lowestSlots: this.lowestSlots,
+            lastSlots: this.queues.map(queue => queue.usableSlots),
+        };
+    }
+
+    private ask(at: Milliseconds): void {
+        const { callerNodes, route, deadlineMs, runMs, heavyShare = 0 } = this.load;
+        const caller = Math.floor(this.random.nextFraction() * callerNodes);
+        const isHeavy = heavyShare > 0 && this.random.nextFraction() < heavyShare;
+        const latencyObjectiveMs = heavyFactor * route.latencyObjectiveMs;
+        this.result.asked++;
+        this.startCall({
+            askedAt: at,
+            attemptedAt: at,
+            caller,
+            mayReturn: true,
+            route: isHeavy ? { ...route, name: "heavy", latencyObjectiveMs } : route,
+            deadlineMs: isHeavy ? heavyFactor * deadlineMs : deadlineMs,
+            runMs: isHeavy ? heavyFactor * runMs : runMs,
+        });
     }
 
     private schedule(at: Milliseconds, run: () => void): void {
@@ -156,7 +210,7 @@
 
     private startCall(call: PlayedCall): void {
         const { clock, budgets, latencies } = this;
-        const { route, deadlineMs } = this.load;
+        const { route, deadlineMs } = call;
         const directory = this.directories[call.caller] as TargetDirectory;
         const plan = new CallPlan({ clock, directory, budgets, latencies, mayRepeat: () => true }, {
             route,
@@ -188,9 +242,11 @@
             case PlanActionKind.WakeAt:
                 return this.schedule(action.at, () => carryOut(plan.handleWakeUp()));
             case PlanActionKind.Answer: {
-                const isInTime = this.clock.now() - call.askedAt <= this.load.route.latencyObjectiveMs;
+                const { name, latencyObjectiveMs } = call.route;
+                const isInTime = this.clock.now() - call.askedAt <= latencyObjectiveMs;
                 this.result[isInTime ? "inTime" : "late"]++;
-                this.latencies.latenciesOf(this.load.route.name).record(this.clock.now() - call.attemptedAt);
+                this.inTimeByRoute.set(name, (this.inTimeByRoute.get(name) ?? 0) + (isInTime ? 1 : 0));
+                this.latencies.latenciesOf(name).record(this.clock.now() - call.attemptedAt);
                 return;
             }
             case PlanActionKind.Refuse:
@@ -203,7 +259,7 @@
     private handleRefusal(call: PlayedCall, retryAfterMs: Milliseconds): void {
         const now = this.clock.now();
         this.refusalTimesMs.push(now - call.attemptedAt);
-        const leftMs = call.askedAt + this.load.deadlineMs - now;
+        const leftMs = call.askedAt + call.deadlineMs - now;
         if (!call.mayReturn || leftMs <= 0) {
             this.result.refused++;
             return;
@@ -223,7 +279,7 @@
         const index = Number(candidate.node.slice("n-".length));
         const queue = this.queues[index] as TargetQueue;
         const directory = this.directories[call.caller] as TargetDirectory;
-        const { route, deadlineMs } = this.load;
+        const { route, deadlineMs } = call;
         directory.recordOffer(candidate.node, key);
         const end = (answer: () => PlanAction[]): void => {
             const load = queue.load(route.name, 0);
@@ -237,8 +293,17 @@
             this.arrivals[index]?.push(this.clock.now());
             const uniform = Math.sqrt(-2 * Math.log(1 - this.random.nextFraction()));
             const normal = uniform * Math.cos(2 * Math.PI * this.random.nextFraction());
-            const runMs = this.load.runMs * Math.exp(runTimeSigma * normal - runTimeSigma ** 2 / 2);
-            this.result.busyMs += Math.max(0, Math.min(runMs, this.load.durationMs - this.clock.now()));
+            const { runTimeFactor, innerWaitMsAt, durationMs } = this.load;
+            const now = this.clock.now();
+            const factor = runTimeFactor?.(index, queue.runningCalls, now) ?? 1;
+            const innerWaitMs = innerWaitMsAt?.(now) ?? 0;
+            const runMs = innerWaitMs
+                + factor * call.runMs * Math.exp(runTimeSigma * normal - runTimeSigma ** 2 / 2);
+            if (innerWaitMs > 0) {
+                queue.recordProgress(key);
+            }
+            this.lowestSlots[index] = Math.min(this.lowestSlots[index] ?? 0, queue.usableSlots);
+            this.result.busyMs += Math.max(0, Math.min(runMs, durationMs - now));
             this.later(networkDelayMs, () => carryOut(plan.handleGranted(attempt)));
             this.later(runMs, () => {
                 queue.limit.handleResponse(this.load.limitOf?.(index, this.clock.now()));
--- a/protocol/forwarding/src/targetLoad.ts
+++ b/protocol/forwarding/src/targetLoad.ts
@@ -36,6 +36,8 @@
     /** Calls queued in the target's node. */
     readonly queued: number;
     readonly slots: number;
+    /** Number of calls that the target is found to handle well at once; `undefined` if that is all its slots. */
+    readonly usableSlots?: number | undefined;
     /** Estimated run time of the route of the reported call; of all calls if the route is unknown. */
     readonly runTimeMs: Milliseconds;
     /** Estimated time until the response to one more call on the route has been sent over the link of the host. */
@@ -72,6 +74,7 @@
                 running,
                 queued,
                 slots,
+                usableSlots: parseUsableSlots(value.usableSlots, slots),
                 runTimeMs,
                 sendMs,
                 meanRunTimeMs,
@@ -82,6 +85,11 @@
         : undefined;
 }
 
+/** A value outside of the slots is ignored, so that the target is used as announced. */
+function parseUsableSlots(value: unknown, slots: number): number | undefined {
+    return isNumber(value) && value >= 1 && value < slots ? value : undefined;
+}
+
 function parseTargetIncarnation(value: unknown): TargetIncarnation | undefined {
     return isRecord(value) && isText(value.id) && isNumber(value.startedAt)
         ? { id: value.id, startedAt: value.startedAt }
