Place calls by the learned limit of targets and spread them over new ones

Cause: callers' nodes placed by the announced slots. A target without a report looked empty to all nodes at once.

On a route of which a target has run no call, it is taken to be as slow as on others. A target without a report beside others that have one is taken to have half of their mean load, at most its slots, and gets one call of each node at a time until its first report.

--- a/coordination/forwarding/src/peerRecord.ts
+++ b/coordination/forwarding/src/peerRecord.ts
@@ -16,6 +16,8 @@
 const maxProbeDelayMs: Milliseconds = 1_000;
 /** A limit heard longer ago is ignored when a target is chosen, so that its end is noticed. */
 const limitValidityMs: Milliseconds = 1_000;
+/** Weight of the latest report in the slowness of a target; the reported run times are averages already. */
+const slownessEwmaWeight = 0.2;
 /** Bounds memory use when routes are added and removed. */
 const maxRoutes = 512;
 
@@ -66,6 +68,7 @@
     private latestLoad: LoadObservation | undefined;
     private overload: Overload | undefined;
     private limit: LimitObservation | undefined;
+    private slowness: { readonly value: number; readonly at: Milliseconds } | undefined;
     private nextProbeAt: Milliseconds | undefined;
     private probeDelayMs = initialProbeDelayMs;
 
@@ -89,6 +92,7 @@
             this.latestLoad = undefined;
             this.overload = undefined;
             this.limit = undefined;
+            this.slowness = undefined;
             this.markHealthy();
         }
     }
@@ -175,6 +179,33 @@
         return this.localCallIds.size + otherCalls * Math.exp(-(now - at) / loadDecayMs);
     }
 
+    /** Whether the target's node has reported its load. */
+    get hasReport(): boolean {
+        return this.latestLoad !== undefined;
+    }
+
+    /** Slots that the target was last found to handle well; approaches all of them as the report ages. */
+    usableSlots(slots: number, now: Milliseconds): number {
+        const usable = this.latestLoad?.load.usableSlots;
+        if (this.latestLoad === undefined || usable === undefined) {
+            return slots;
+        }
+        const weight = Math.exp(-(now - this.latestLoad.at) / runTimeDecayMs);
+        return slots + (Math.min(slots, usable) - slots) * weight;
+    }
+
+    /** Records a run time as a multiple of what the route takes in all targets of the service. */
+    recordSlowness(ratio: number, now: Milliseconds): void {
+        const { value } = this.slowness ?? { value: 1 };
+        this.slowness = { value: value + slownessEwmaWeight * (ratio - value), at: now };
+    }
+
+    /** Run times in this target, as a multiple of the usual ones of its service; approaches 1 as reports age. */
+    slownessAt(now: Milliseconds): number {
+        const { slowness } = this;
+        return slowness === undefined ? 1 : 1 + (slowness.value - 1) * Math.exp(-(now - slowness.at) / runTimeDecayMs);
+    }
+
     /** Limit that the target last named, in calls per second; `undefined` if it named none. */
     get callsPerSecond(): number | undefined {
         return this.limit?.callsPerSecond;
@@ -191,11 +222,14 @@
         return this.latestLoad?.load.meanRunTimeMs;
     }
 
-    /** Run time of the route in this target; approaches `typicalMs` as the observation ages. */
+    /**
+     * Run time of the route in this target; approaches `typicalMs` as the observation ages. Without an observation, the
+     * target is taken to be as slow or fast on this route as on others.
+     */
     runTimeMs(route: string, typicalMs: Milliseconds, now: Milliseconds): Milliseconds {
         const observed = this.runTimes.get(route);
         if (observed === undefined) {
-            return typicalMs;
+            return typicalMs * this.slownessAt(now);
         }
         const weight = Math.exp(-(now - observed.at) / runTimeDecayMs);
         return typicalMs + (observed.runTimeMs - typicalMs) * weight;
--- a/coordination/forwarding/src/targetDirectory.ts
+++ b/coordination/forwarding/src/targetDirectory.ts
@@ -2,8 +2,10 @@
  * Targets known to the caller's node, and cost-based selection among them.
  *
  * The cost of a target is the expected time until its response: network, queueing and run time, plus a penalty for
- * failures. In services with many targets, only a subset is considered. Other zones have an extra cost because their
- * traffic crosses a slower and more expensive link. They are used when the local zone would be late.
+ * failures. Targets of one service differ in speed and in how many calls they handle well; both are taken from the
+ * reports of their nodes, and lose weight as the reports age. In services with many targets, only a subset is
+ * considered. Other zones have an extra cost because their traffic crosses a slower and more expensive link. They are
+ * used when the local zone would be late.
  */
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import type { Random } from "@bilberrycroft/core.random";
@@ -45,6 +47,15 @@
     readonly responseBytes: number;
 }
 
+/** What the costs of all targets of a call are computed from. */
+interface CostBasis {
+    /** Run time of the route over the targets. */
+    readonly typicalMs: Milliseconds;
+    /** Calls of other nodes that a target without a report is expected to have. */
+    readonly unreported: number;
+    readonly now: Milliseconds;
+}
+
 /** Run time estimate for a route before any of its calls has ended. */
 const initialRunTimeMs: Milliseconds = 50;
 /** Calls in a target that has just started take about twice as long. */
@@ -64,6 +75,17 @@
 const millisecondsPerSecond = 1_000;
 /** Bounds memory use; a target leaves for good within seconds. */
 const maxLeavingTargets = 1_024;
+/** Bounds memory use when routes are added and removed. */
+const maxServiceRoutes = 1_024;
+/** Weight of the latest report; many targets contribute. */
+const serviceRunTimeEwmaWeight = 0.05;
+/**
+ * Calls that a target without a report is expected to have of other nodes, as a share of the mean of its peers, at most
+ * its slots. All nodes see a new target as empty at the same time and would fill it at once.
+ */
+const unreportedLoadShare = 0.5;
+/** Calls by slots that a target without a report is taken to have once this node has offered it a call. */
+const unknownBacklog = 4;
 /** Keeps the cost of a target finite that accepts hardly any calls. */
 const minUsableSlots = 0.01;
 /** Random share of a cost, so that nodes with the same observations choose different targets. */
@@ -78,6 +100,9 @@
      */
     private readonly leavingTargets = new Map<string, TargetIncarnation>();
 
+    /** Run times of routes over all targets of their service. */
+    private readonly serviceRunTimes = new Map<string, Milliseconds>();
+
     constructor(private readonly options: TargetDirectoryOptions) {}
 
     /** Replaces the table of nodes; keeps the observations of nodes that remain. */
@@ -113,7 +138,12 @@
 
     recordLoad(node: string, load: TargetLoad, route?: string): void {
         const record = this.records.get(node);
-        record?.recordLoad(load, route, this.options.clock.now());
+        const now = this.options.clock.now();
+        record?.recordLoad(load, route, now);
+        if (record !== undefined && route !== undefined) {
+            const usualMs = this.updateServiceRunTime(`${record.entry.target?.service} ${route}`, load.runTimeMs);
+            record.recordSlowness(load.runTimeMs / Math.max(1, usualMs), now);
+        }
         if (load.leavingTarget !== undefined) {
             const key = incarnationKey(load.leavingTarget);
             evictOldestIfFull(this.leavingTargets, key, maxLeavingTargets);
@@ -124,6 +154,14 @@
         }
     }
 
+    private updateServiceRunTime(key: string, runTimeMs: Milliseconds): Milliseconds {
+        evictOldestIfFull(this.serviceRunTimes, key, maxServiceRoutes);
+        const before = this.serviceRunTimes.get(key) ?? runTimeMs;
+        const updated = before + serviceRunTimeEwmaWeight * (runTimeMs - before);
+        this.serviceRunTimes.set(key, updated);
+        return updated;
+    }
+
     /** Records how long the node took to respond to an offer. */
     recordResponseTime(node: string, elapsedMs: Milliseconds): void {
         this.records.get(node)?.responseTimes.add(elapsedMs);
@@ -210,11 +248,13 @@
     private findCheapest(records: readonly PeerRecord[], request: CandidateRequest): TargetCandidate | undefined {
         const now = this.options.clock.now();
         const typicalMs = typicalRunTimeMs(records, request.route.name);
+        const unreportedLoad = Math.min(1, unreportedLoadShare * this.meanLoad(records, now));
         let cheapest: PeerRecord | undefined;
         let lowestCostMs = Number.POSITIVE_INFINITY;
         for (const record of records) {
             const jitter = 1 + jitterShare * this.options.random.nextFraction();
-            const costMs = this.costMs(record, request, typicalMs, now) * jitter;
+            const unreported = this.expectedUnreported(record, unreportedLoad);
+            const costMs = this.costMs(record, request, { typicalMs, unreported, now }) * jitter;
             if (costMs < lowestCostMs) {
                 cheapest = record;
                 lowestCostMs = costMs;
@@ -227,17 +267,33 @@
         return { node, address, zone, target: target?.id ?? "", costMs: lowestCostMs };
     }
 
-    private costMs(
-        record: PeerRecord,
-        request: CandidateRequest,
-        typicalMs: Milliseconds,
-        now: Milliseconds,
-    ): Milliseconds {
+    /** Until its first report, one call of this node at a time is enough to learn the load of a target. */
+    private expectedUnreported(record: PeerRecord, load: number): number {
+        const slots = record.entry.target?.slots ?? 1;
+        if (record.hasReport || load === 0) {
+            return 0;
+        }
+        return record.localCalls === 0 ? load * slots : unknownBacklog * slots;
+    }
+
+    /** Mean number of calls by slots, over the targets that have reported their load. */
+    private meanLoad(records: readonly PeerRecord[], now: Milliseconds): number {
+        const reported = records.filter(({ hasReport }) => hasReport);
+        if (reported.length === records.length || reported.length === 0) {
+            return 0;
+        }
+        return reported.reduce((sum, record) =>
+            sum + record.occupancy(now) / Math.max(1, record.entry.target?.slots ?? 1), 0) / reported.length;
+    }
+
+    private costMs(record: PeerRecord, request: CandidateRequest, basis: CostBasis): Milliseconds {
+        const { typicalMs, unreported, now } = basis;
         const { latencyObjectiveMs } = request.route;
         const { target } = record.entry;
         const meanRunTimeMs = record.meanRunTimeMs ?? typicalMs;
-        const slots = usableSlots(Math.max(1, target?.slots ?? 1), meanRunTimeMs, record.recentCallsPerSecond(now));
-        const occupancy = record.occupancy(now);
+        const learnedSlots = record.usableSlots(Math.max(1, target?.slots ?? 1), now);
+        const slots = usableSlots(learnedSlots, meanRunTimeMs, record.recentCallsPerSecond(now));
+        const occupancy = record.occupancy(now) + unreported;
         const fullness = Math.min(1, occupancy / slots);
         const waitMs = Math.max(0, occupancy + 1 - slots) * meanRunTimeMs / slots;
         const runTimeFactor = this.isCold(target?.coldUntil ?? 0) ? coldFactor : 1;
--- a/coordination/forwarding/test/targetDirectory.test.ts
+++ b/coordination/forwarding/test/targetDirectory.test.ts
@@ -96,6 +96,45 @@
         });
     });
 
+    describe("targets that differ", () => {
+        it("get calls by the number that they handle well, which is forgotten as the report ages", () => {
+            directory.recordLoad("a", createLoad({ running: 2, usableSlots: 2 }), "r");
+            directory.recordLoad("b", createLoad({ running: 3 }), "r");
+            expect(chooseMany()).toEqual(new Set(["b"]));
+            clock.advance(20_000);
+            expect(chooseMany().has("a")).toBe(true);
+        });
+
+        it("are known as slow also on a route of which they have run no call", () => {
+            for (let report = 0; report < 20; report++) {
+                directory.recordLoad("a", createLoad({ runTimeMs: 200 }), "other");
+                directory.recordLoad("b", createLoad(), "other");
+            }
+            directory.recordLoad("b", createLoad(), "r");
+            expect(chooseMany()).toEqual(new Set(["b"]));
+        });
+
+        // Guards against all nodes filling a target at once that has just started and looks empty to each of them.
+        it("get neither all calls nor none when they have just started beside full ones", () => {
+            const chosen: (string | undefined)[] = [];
+            for (let caller = 0; caller < 20; caller++) {
+                const other = new TargetDirectory({ clock, random: createSeededRandom(caller), node: `c${caller}`, zone: "local" });
+                other.setEntries(["a", "b", "d", "new"].map(node => createEntry(node, "local")));
+                for (const node of ["a", "b", "d"]) {
+                    other.recordLoad(node, createLoad({ running: 4, queued: 2 }), "r");
+                }
+                for (let call = 0; call < 4; call++) {
+                    const node = other.choose({ service: "s", route, exclude: new Set(), responseBytes: 1_000 })?.node ?? "";
+                    other.recordOffer(node, `call-${call}`);
+                    chosen.push(node);
+                }
+            }
+            const share = chosen.filter(node => node === "new").length / chosen.length;
+            expect(share).toBeGreaterThan(0.1);
+            expect(share).toBeLessThan(0.3);
+        });
+    });
+
     describe("observations", () => {
         it("avoids a slow target and tries it again as the observation ages", () => {
             directory.recordLoad("a", createLoad({ runTimeMs: 400 }), "r");
