--- a/bench/src/loadModel/modelCall.ts
+++ b/bench/src/loadModel/modelCall.ts
@@ -200,6 +200,7 @@
             deadlineAt: request.deadlineAt,
             priority: request.priority,
             isRepeat: offer.isRepeat || request.isFromRepeat,
+            handleInnerCall: () => target.queue.recordProgress(key),
             handleEnd: (result, busyMs) => {
                 target.busyMs += busyMs;
                 attempt.hasFailed = result === RunResult.Failed;
--- a/bench/src/loadModel/modelNode.ts
+++ b/bench/src/loadModel/modelNode.ts
@@ -45,11 +45,13 @@
     /** Whether a check of the queue is scheduled. */
     isAdvancing = false;
     private readonly speedFactor: number;
+    private readonly knee: number;
+    private readonly risePerCall: number;
     private readonly disturbances: readonly TargetDisturbance[];
 
     constructor(private readonly options: ModelNodeOptions) {
         const { scenario, strategy, time: { clock }, random, index, service, position } = options;
-        const { targets, slots, speedSpread } = scenario.services[service] as Scenario["services"][string];
+        const { targets, slots, speedSpread, knee, kneeShare, risePerCall } = scenario.services[service] as Scenario["services"][string];
         this.name = `n-${index}`;
         this.zone = `z-${index % scenario.zones}`;
         this.service = service;
@@ -61,6 +63,8 @@
         // Speeds are evenly spread around the mean, so that the capacity of a service does not depend on the seed.
         const place = targets === 1 ? 0 : 2 * position / (targets - 1) - 1;
         this.speedFactor = speedSpread ** (place / 2);
+        this.knee = knee !== undefined && position < Math.ceil(kneeShare * targets) ? knee : slots;
+        this.risePerCall = risePerCall;
         this.disturbances = scenario.disturbances.filter(disturbance =>
             disturbance.service === service && position < Math.ceil(disturbance.share * targets));
     }
@@ -81,7 +85,8 @@
     /** Multiple of the mean run time that runs which start now take. */
     get slowness(): number {
         const factors = this.active.map(active => active.kind === DisturbanceKind.Slow ? active.factor : 1);
-        return factors.reduce((product, factor) => product * factor, this.speedFactor);
+        const slowdown = 1 + this.risePerCall * Math.max(0, this.queue.runningCalls - this.knee);
+        return factors.reduce((product, factor) => product * factor, this.speedFactor * slowdown);
     }
 
     /** Share of the runs that fail now. */
--- a/bench/src/loadModel/scenario.ts
+++ b/bench/src/loadModel/scenario.ts
@@ -32,6 +32,11 @@
     slots: count,
     /** The slowest target takes this many times as long as the fastest one. */
     speedSpread: z.number().min(1).default(1),
+    /** Run times rise by `risePerCall` of themselves with each running call beyond this number. */
+    knee: count.optional(),
+    risePerCall: z.number().nonnegative().default(0),
+    /** Share of the targets that have this knee. */
+    kneeShare: share.default(1),
 });
 const classSchema = z.strictObject({
     service: z.string(),
--- a/bench/src/loadModel/targetRun.ts
+++ b/bench/src/loadModel/targetRun.ts
@@ -17,6 +17,8 @@
     readonly priority: number;
     /** Whether the call may run or have run elsewhere, so that its inner calls are repeats. */
     readonly isRepeat: boolean;
+    /** Called when the run makes an inner call. */
+    handleInnerCall(): void;
     handleEnd(result: RunResult, busyMs: Milliseconds): void;
 }
 
@@ -90,6 +92,7 @@
             },
         });
         this.innerCalls.add(call);
+        this.options.handleInnerCall();
         call.start();
     }
 
