--- a/daemons/node/test/faultMatrix/oddInputs.ts
+++ b/daemons/node/test/faultMatrix/oddInputs.ts
@@ -19,6 +19,7 @@
 const otherWriterInputs = "platform/soak/otherWriters.ts";
 const messages = "protocol/forwarding/test/messages.test.ts";
 const silentLink = "platform/test/silentLink.test.ts";
+const silentTargets = "platform/test/silentTargets.test.ts";
 
 function createInput(from: string, input: string, file: string, test: string): OddInput {
     return { from, input, file, test };
@@ -37,6 +38,9 @@
     createInput("target", "crash within a response", calls, "within the response"),
     createInput("target", "crash within a streamed response", calls, "within a streamed response"),
     createInput("target", "crash within a refusal", calls, "within a refusal are quarantined"),
+    createInput("target", "no response to a request that it cannot queue", silentTargets, "by its second target"),
+    createInput("target", "informational response and nothing else", silentTargets, "TargetBehaviour.Informational"),
+    createInput("target", "start of a head and nothing else", silentTargets, "TargetBehaviour.StallHead"),
     createInput("caller", "header name that cannot be sent", invalidHeaders, "is refused with 400 before it reaches a target"),
     createInput("caller", "header name that cannot be sent, to `daemons/node`", malformed, "header name with a space"),
     createInput("caller", "refused request without end", "transport/calls/test/discarding.test.ts", "its sender gets the response"),
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -203,6 +203,8 @@
             { name: "target_calls", help: "Calls in the target or waiting for it.", read: () => this.targetTask.inProgress },
             { name: "target_calls_sent", help: "Calls sent to the target since the start.", read: () => this.targetTask.sentCalls },
             { name: "target_request_limit", help: "Calls per second that the target accepts; 0 without a limit.", read: () => this.targetTask.requestLimit },
+            { name: "target_slots", help: "Slots that the target announces.", read: () => this.targetTask.slots.announced },
+            { name: "target_usable_slots", help: "Calls at once that the target is found to handle well.", read: () => this.targetTask.slots.learned },
             { name: "buffered_bytes", help: "Bytes of requests and responses held for callers.", read: () => this.bufferBudget.used },
             { name: "faults_confined", help: "Exceptions confined to what caused them.", read: () => this.faults.count },
             { name: "log_lines_dropped", help: "Log lines dropped.", read: () => this.options.log.dropped },
--- a/daemons/sidecar/src/tasks/targetTask.ts
+++ b/daemons/sidecar/src/tasks/targetTask.ts
@@ -25,6 +25,7 @@
 import { probeListener, type TargetClient } from "@bilberrycroft/transport.calls";
 import type { ResponsePacer, IncomingOffer } from "@bilberrycroft/transport.forwarding";
 import { type BrokenConnection, TargetCall, type TargetServices } from "../calls/targetCall";
+import { UnqueuedCalls } from "../calls/unqueuedCalls";
 import type { CallHeaderCodec, TargetResponseHead } from "../ports";
 
 export interface TargetTaskOptions {
@@ -78,10 +79,7 @@
     private readonly pending = new Map<string, PendingOffer>();
     /** Calls running in the target, by call identifier. */
     private readonly running = new Map<string, RunningCall>();
-    /** Running calls by the key of their offer. */
-    private readonly callsByKey = new Map<string, TargetCall>();
-    /** Calls in progress that have left the queue because the target has probably never queued them, by key. */
-    private readonly unqueued = new Map<string, { readonly call: TargetCall; readonly route: string }>();
+    private readonly unqueuedCalls: UnqueuedCalls;
     private readonly services: TargetServices;
     private readonly responseSizes = new ResponseSizes();
     private responsesInFlight = 0;
@@ -89,15 +87,20 @@
     private queueTimer: NodeJS.Timeout | undefined;
     private offerCount = 0;
     private isStopping = false;
-    private isCheckScheduled = false;
     private brokenConnections: TimedBrokenConnection[] = [];
     private lastTargetState = "";
     private callsSent = 0;
     private lastIncarnation = "";
     private lastCallsPerSecond: number | undefined;
+    private lastLearnedSlots: number | undefined;
 
     constructor(private readonly options: TargetTaskOptions) {
-        const { clock, client, codec, log, targetAddress, target } = options;
+        const { clock, client, codec, log, targetAddress, target, queue, faults } = options;
+        this.unqueuedCalls = new UnqueuedCalls({
+            queue,
+            faults,
+            applyQueueEvents: events => this.applyQueueEvents(events),
+        });
         this.services = {
             clock,
             client,
@@ -122,7 +125,7 @@
         this.availabilityTimer = setInterval(
             () => this.options.faults.run("availability-timer", {}, () => {
                 this.updateAvailability();
-                this.checkUnansweredCalls();
+                this.unqueuedCalls.check();
             }),
             availabilityCheckIntervalMs,
         );
@@ -136,7 +139,7 @@
     /** Number of running and queued calls, plus responses not fully sent yet. */
     get inProgress(): number {
         const { runningCalls, queuedCalls } = this.options.queue;
-        return runningCalls + queuedCalls + this.unqueued.size + this.responsesInFlight;
+        return runningCalls + queuedCalls + this.unqueuedCalls.size + this.responsesInFlight;
     }
 
     /** Number of calls sent to the target since the start. */
@@ -149,6 +152,11 @@
         return this.options.queue.limit.callsPerSecond ?? 0;
     }
 
+    /** Slots that the target announces, and the number of calls that it is found to handle well at once. */
+    get slots(): { readonly announced: number; readonly learned: number } {
+        return { announced: this.options.target.announced?.slots ?? 0, learned: this.options.queue.learnedSlots };
+    }
+
     /** Refuses new offers, because the node is stopping. */
     startDraining(): void {
         this.isStopping = true;
@@ -172,6 +180,21 @@
             log.info("target-availability", { target: announced?.id, availability, slots });
             this.applyQueueEvents(queue.setTarget({ slots, availability }));
         }
+        this.logLearnedSlots(slots);
+    }
+
+    private logLearnedSlots(slots: number): void {
+        const { target, queue, log } = this.options;
+        const { learnedSlots } = queue;
+        // Without a target there is nothing to learn; the first number of a target is that of its slots.
+        const previous = this.lastLearnedSlots ?? slots;
+        this.lastLearnedSlots = slots === 0 ? undefined : learnedSlots;
+        if (slots > 0 && learnedSlots !== previous) {
+            const { meanRunTimeMs } = queue.load("", 0);
+            const { runningCalls: running, queuedCalls: queued } = queue;
+            const fields = { target: target.announced?.id, slots, learnedSlots, previous, running, queued };
+            log.info("target-slots-learned", { ...fields, meanRunTimeMs: Math.round(meanRunTimeMs) });
+        }
     }
 
     /** Returns the parent of an inner call if it is running in the target, which the inner call shows. */
@@ -210,7 +233,7 @@
             this.options.queue.limit.adopt(offer.targetCallsPerSecond);
             this.logLimit("peer");
         }
-        this.checkUnansweredCalls();
+        this.unqueuedCalls.check();
         const now = this.options.clock.now();
         const key = `${offer.callId} ${++this.offerCount}`;
         const deadlineAt = now + offer.deadlineMs;
@@ -303,7 +326,7 @@
         this.running.set(offer.callId, { key, offer });
         const targetStartedAt = this.options.target.announced?.startedAt ?? 0;
         const call = new TargetCall({ incoming, body, deadlineAt, targetStartedAt }, this.services);
-        this.callsByKey.set(key, call);
+        this.unqueuedCalls.add(key, call);
         incoming.observe({
             onBody: () => undefined,
             onWithdrawn: () => call.handleWithdrawal(),
@@ -323,49 +346,15 @@
 
     private handleFinished(key: string, result: RunResult): void {
         const { queue } = this.options;
-        const unqueued = this.unqueued.get(key);
-        if (unqueued === undefined) {
+        if (!this.unqueuedCalls.handleFinished(key, result)) {
             this.applyQueueEvents(queue.finish(key, result));
-            this.checkUnansweredCalls();
-            return;
-        }
-        this.unqueued.delete(key);
-        if (result === RunResult.Answered || result === RunResult.Failed) {
-            this.applyQueueEvents(queue.retractUnqueued(unqueued.route, unqueued.call.ageMs));
+            this.unqueuedCalls.check();
         }
     }
 
     private removeCall(key: string, callId: string): void {
         this.running.delete(callId);
-        this.callsByKey.delete(key);
-    }
-
-    /**
-     * Ends the calls that the target has probably never queued; those of which a byte has arrived go on. This happens
-     * in a turn of its own, after the responses that have arrived meanwhile are read.
-     */
-    private checkUnansweredCalls(): void {
-        if (this.isCheckScheduled || this.running.size === 0) {
-            return;
-        }
-        this.isCheckScheduled = true;
-        setImmediate(() => {
-            this.isCheckScheduled = false;
-            this.options.faults.run("unanswered-calls", {}, () => this.endUnansweredCalls());
-        });
-    }
-
-    private endUnansweredCalls(): void {
-        const { queue } = this.options;
-        for (const key of queue.findUnanswered(callId => this.callsByKey.get(callId)?.hasProgress === true)) {
-            const call = this.callsByKey.get(key);
-            if (call === undefined) {
-                continue;
-            }
-            this.unqueued.set(key, { call, route: call.route });
-            call.handleUnqueued();
-            this.applyQueueEvents(queue.finish(key, RunResult.Unqueued));
-        }
+        this.unqueuedCalls.remove(key);
     }
 
     private handleWithdrawal(key: string): void {
