Refuse calls that would miss their objective while the queue stays full

Cause: the queue accepted calls that were expected to end past their objective and refused them when they had waited. They took slots from calls that would have been in time, and their callers learned late that they have to return.

Change: while the queue has not been empty for 500 ms, calls that can no longer meet their objective are refused, and calls that are expected to miss it are not accepted. Inner calls are exempt. Shorter crowds are bursts, after which there is room for late responses.

--- a/coordination/forwarding/src/targetQueue.ts
+++ b/coordination/forwarding/src/targetQueue.ts
@@ -87,6 +87,8 @@
  * caller that is refused early can still retry.
  */
 const queueGraceShare = 0.25;
+/** Shorter crowds are bursts, after which there is room for late responses too. */
+const crowdedAfterMs: Milliseconds = 500;
 /** Responses with a shorter transfer time are not queued behind large ones. */
 const shortTransferMs: Milliseconds = 5;
 const minRetryAfterMs: Milliseconds = 50;
@@ -125,6 +127,8 @@
     private slots = 0;
     private availability = TargetAvailability.Down;
     private failureShare = 0;
+    /** Time since which the queue has not been empty. */
+    private crowdedSince: Milliseconds | undefined;
     private readonly unanswered: UnansweredCalls;
     private readonly accepted: AcceptedCalls;
     private readonly slotLimit: SlotLimit;
@@ -178,7 +182,10 @@
         }
         const expectedWaitMs = this.expectedWaitMs(call);
         const sendMs = this.expectedSendMs(call.transferMs, expectedWaitMs + this.expectedRunMs(call));
-        if (now + expectedWaitMs + this.expectedRunMs(call) + sendMs > this.latestEndAt(call, now)) {
+        const latestEndAt = this.isCrowded(now) && !call.isInner
+            ? this.objectiveWithin(call, now)
+            : this.latestEndAt(call, now);
+        if (now + expectedWaitMs + this.expectedRunMs(call) + sendMs > latestEndAt) {
             return this.refuse(call, CallReason.Overloaded);
         }
         const refuseAt = this.latestEndAt(call, now) - this.expectedRunMs(call) - call.transferMs;
@@ -255,14 +262,30 @@
 
     private expireQueued(): QueueEvent[] {
         const now = this.options.clock.now();
-        const expired = this.queue.filter(({ refuseAt }) => now >= refuseAt);
+        const isCrowded = this.isCrowded(now);
+        const expired = this.queue.filter(({ call, refuseAt }) =>
+            now >= refuseAt || (isCrowded && !call.isInner && !this.canMeetObjective(call, now)));
         if (expired.length === 0) {
             return [];
         }
-        this.queue = this.queue.filter(({ refuseAt }) => now < refuseAt);
+        const gone = new Set(expired);
+        this.queue = this.queue.filter(queued => !gone.has(queued));
         return expired.map(({ call }) => this.refuse(call, CallReason.Overloaded));
     }
 
+    /**
+     * Whether calls have waited without interruption for a time. A call that misses its objective then takes the place
+     * of one that would meet it.
+     */
+    private isCrowded(now: Milliseconds): boolean {
+        if (this.queue.length === 0) {
+            this.crowdedSince = undefined;
+            return false;
+        }
+        this.crowdedSince ??= now;
+        return now - this.crowdedSince >= crowdedAfterMs && this.queue.length > 1;
+    }
+
     /** Number of calls that run in the target. */
     get runningCalls(): number {
         return this.running.size;
@@ -357,10 +380,14 @@
      * ignored and only its deadline limits it.
      */
     private latestEndAt(call: OfferedCall, now: Milliseconds): Milliseconds {
-        const objectiveAt = Math.min(Math.max(call.objectiveAt, now), call.deadlineAt);
+        const objectiveAt = this.objectiveWithin(call, now);
         return call.isInner ? call.deadlineAt : objectiveAt + queueGraceShare * (call.deadlineAt - objectiveAt);
     }
 
+    private objectiveWithin(call: OfferedCall, now: Milliseconds): Milliseconds {
+        return Math.min(Math.max(call.objectiveAt, now), call.deadlineAt);
+    }
+
     private canMeetObjective(call: OfferedCall, now: Milliseconds): boolean {
         return now + objectiveSafetyFactor * this.expectedRunMs(call) <= call.objectiveAt;
     }
--- a/coordination/forwarding/test/targetQueue.test.ts
+++ b/coordination/forwarding/test/targetQueue.test.ts
@@ -163,6 +163,23 @@
             expect(queue.finish(running[0], RunResult.Answered)).toEqual([]);
         });
 
+        // Guards against slots that go to late responses while calls wait that could still be in time.
+        it("refuses calls that miss their objective once the queue has not been empty for half a second", () => {
+            const longCall = { objectiveAt: clock.now() + 10_000, deadlineAt: clock.now() + 20_000 };
+            fill();
+            offer(longCall);
+            offer(longCall);
+            clock.advance(400);
+            const missed = { objectiveAt: clock.now() + 60, deadlineAt: clock.now() + 5_000 };
+            const late = createCall(missed);
+            expect(queue.offer(late).kind).toBe(OfferDecisionKind.Queued);
+            clock.advance(100);
+            expect(queue.advance()).toMatchObject([{ kind: OfferDecisionKind.Refused, callId: late.callId }]);
+            const laterMissed = { objectiveAt: clock.now() + 60, deadlineAt: clock.now() + 5_000 };
+            expect(queue.offer(createCall(laterMissed)).kind).toBe(OfferDecisionKind.Refused);
+            expect(queue.offer(createCall({ ...laterMissed, isInner: true })).kind).toBe(OfferDecisionKind.Queued);
+        });
+
         it("refuses queued and new calls when the target is leaving", () => {
             fill();
             const waiting = offer();
