--- a/coordination/forwarding/src/targetQueue.ts
+++ b/coordination/forwarding/src/targetQueue.ts
@@ -10,9 +10,12 @@
 import type { Random } from "@bilberrycroft/core.random";
 import { CallReason } from "@bilberrycroft/protocol.calls";
 import { TargetAvailability, type TargetLoad } from "@bilberrycroft/protocol.forwarding";
+import { AcceptedCalls } from "./acceptedCalls";
+import { ConcurrencyLimit, type SlotLimit } from "./concurrencyLimit";
 import { FairShare, type OrganisationName } from "./fairShare";
 import { RequestLimit } from "./requestLimit";
 import { RunTimeEstimates } from "./runTimes";
+import { UnansweredCalls } from "./unansweredCalls";
 
 /** A call offered by another node. */
 export interface OfferedCall {
@@ -69,6 +72,8 @@
     Shed = "shed",
     /** No usable response arrived. */
     Broken = "broken",
+    /** No byte of a response arrived, and the target has probably never queued the call because it was full. */
+    Unqueued = "unqueued",
     /** The call was cancelled before it ended. */
     Cancelled = "cancelled",
 }
@@ -78,6 +83,8 @@
     readonly random: Random;
     /** Time until all responses that are queued for this host's link are sent. */
     linkBacklogMs(): Milliseconds;
+    /** Number of calls to run at once; learned by default. */
+    readonly slotLimit?: SlotLimit;
 }
 
 /** Maximum queue length; calls in a longer queue could not finish in time. */
@@ -89,6 +96,8 @@
  * caller that is refused early can still retry.
  */
 const queueGraceShare = 0.25;
+/** Shorter crowds are bursts, after which there is room for late responses too. */
+const crowdedAfterMs: Milliseconds = 500;
 /** Responses with a shorter transfer time are not queued behind large ones. */
 const shortTransferMs: Milliseconds = 5;
 const minRetryAfterMs: Milliseconds = 50;
@@ -100,6 +109,13 @@
     readonly call: OfferedCall;
     /** Time from which the call can no longer finish in time. */
     readonly refuseAt: Milliseconds;
+    readonly arrival: Arrival;
+}
+
+/** When a call was offered, and in which period of the learned limit. */
+interface Arrival {
+    readonly at: Milliseconds;
+    readonly period: number;
 }
 
 interface RunningCall {
@@ -109,6 +125,11 @@
     readonly transferMs: Milliseconds;
     /** Run time that was charged to the organisation at the start. */
     readonly chargedMs: Milliseconds;
+    /** Calls that ran when this one started, itself included. */
+    readonly place: number;
+    readonly objectiveAt: Milliseconds;
+    readonly arrival: Arrival;
+    hasInnerCalls: boolean;
 }
 
 export class TargetQueue {
@@ -119,12 +140,27 @@
     private slots = 0;
     private availability = TargetAvailability.Down;
     private failureShare = 0;
+    /** Time since which the queue has not been empty. */
+    private crowdedSince: Milliseconds | undefined;
+    private readonly unanswered: UnansweredCalls;
+    private readonly accepted: AcceptedCalls;
+    private readonly slotLimit: SlotLimit;
     /** Limit that the target names. */
     readonly limit: RequestLimit;
 
     constructor(private readonly options: TargetQueueOptions) {
         this.limit = new RequestLimit(options.clock);
         this.fairShare = new FairShare(options.clock);
+        this.unanswered = new UnansweredCalls(options.clock, this.runTimes);
+        this.accepted = new AcceptedCalls(options.clock);
+        this.slotLimit = options.slotLimit ?? new ConcurrencyLimit(options.clock);
+    }
+
+    /** Forgets what was learned of the target, because it was replaced. */
+    handleReplacement(): void {
+        this.limit.reset();
+        this.accepted.reset();
+        this.slotLimit.reset();
     }
 
     /** Updates the target's slots and availability; returns the queued calls that are now granted or refused. */
@@ -152,8 +188,9 @@
         if (sendAfterRunMs > 0 && now + this.expectedRunMs(call) + sendAfterRunMs > call.deadlineAt) {
             return this.refuse(call, CallReason.Overloaded);
         }
+        const arrival = { at: now, period: this.slotLimit.period };
         if (this.queue.length === 0 && this.mayStart()) {
-            return this.grant(call);
+            return this.grant(call, arrival);
         }
         if (call.spareOnly) {
             return this.refuse(call, CallReason.Overloaded);
@@ -164,7 +201,8 @@
         if (!hasRoom && evicted === undefined) {
             return this.refuse(call, CallReason.Overloaded);
         }
-        this.queue.push({ call, refuseAt: this.latestEndAt(call, now) - this.expectedRunMs(call) - call.transferMs });
+        const refuseAt = this.latestEndAt(call, now) - this.expectedRunMs(call) - call.transferMs;
+        this.queue.push({ call, refuseAt, arrival });
         return { kind: OfferDecisionKind.Queued, callId: call.callId, expectedWaitMs, evicted };
     }
 
@@ -172,7 +210,10 @@
     private canWait(call: OfferedCall, waitMs: Milliseconds, now: Milliseconds): boolean {
         const runMs = this.expectedRunMs(call);
         const sendMs = this.expectedSendMs(call.transferMs, waitMs + runMs);
-        return now + waitMs + runMs + sendMs <= this.latestEndAt(call, now);
+        const latestEndAt = this.isCrowded(now) && !call.isInner
+            ? this.objectiveWithin(call, now)
+            : this.latestEndAt(call, now);
+        return now + waitMs + runMs + sendMs <= latestEndAt;
     }
 
     /**
@@ -209,17 +250,56 @@
         }
         this.running.delete(callId);
         this.fairShare.charge(call.organisation, this.options.clock.now() - call.startedAt - call.chargedMs);
+        this.unanswered.recordEnd(callId, result === RunResult.Answered || result === RunResult.Failed);
+        if (result === RunResult.Unqueued) {
+            this.accepted.recordOverflow(call.place - 1, call.startedAt);
+        }
         // Neither a full target nor a cancelled call is a failure of the target.
-        if (result !== RunResult.Cancelled && result !== RunResult.Shed) {
+        if (result !== RunResult.Cancelled && result !== RunResult.Shed && result !== RunResult.Unqueued) {
             const failed = result === RunResult.Answered ? 0 : 1;
             this.failureShare += failureEwmaWeight * (failed - this.failureShare);
         }
         if (result === RunResult.Answered) {
-            this.runTimes.add(call.route, this.options.clock.now() - call.startedAt);
+            this.recordRun(call);
         }
         return this.startNext();
     }
 
+    private recordRun({ route, startedAt, place, objectiveAt, arrival, hasInnerCalls }: RunningCall): void {
+        const now = this.options.clock.now();
+        this.runTimes.add(route, now - startedAt);
+        this.slotLimit.recordRun({
+            route,
+            runMs: now - startedAt,
+            running: place,
+            hasInnerCalls,
+            period: arrival.period,
+            isInTime: now <= objectiveAt,
+            objectiveMs: objectiveAt - arrival.at,
+        });
+    }
+
+    /** The target has shown by an inner call that it runs the call. */
+    recordProgress(callId: string): void {
+        const call = this.running.get(callId);
+        if (call !== undefined) {
+            call.hasInnerCalls = true;
+        }
+        this.unanswered.recordProgress(callId);
+    }
+
+    /** Running calls that the target has probably never queued; `hasProgress` tells whether any byte has arrived. */
+    findUnanswered(hasProgress: (callId: string) => boolean): string[] {
+        return this.unanswered.findOverdue(hasProgress);
+    }
+
+    /** A call that was ended as `Unqueued` has got its response after all. */
+    retractUnqueued(route: string, runMs: Milliseconds): QueueEvent[] {
+        this.unanswered.recordLateResponse(route, runMs);
+        this.accepted.reset();
+        return this.startNext();
+    }
+
     /** Removes a queued call that was withdrawn by its caller. */
     cancel(callId: string): void {
         this.queue = this.queue.filter(({ call }) => call.callId !== callId);
@@ -232,14 +312,30 @@
 
     private expireQueued(): QueueEvent[] {
         const now = this.options.clock.now();
-        const expired = this.queue.filter(({ refuseAt }) => now >= refuseAt);
+        const isCrowded = this.isCrowded(now);
+        const expired = this.queue.filter(({ call, refuseAt }) =>
+            now >= refuseAt || (isCrowded && !call.isInner && !this.canMeetObjective(call, now)));
         if (expired.length === 0) {
             return [];
         }
-        this.queue = this.queue.filter(({ refuseAt }) => now < refuseAt);
+        const gone = new Set(expired);
+        this.queue = this.queue.filter(queued => !gone.has(queued));
         return expired.map(({ call }) => this.refuse(call, CallReason.Overloaded));
     }
 
+    /**
+     * Whether calls have waited without interruption for a time. A call that misses its objective then takes the place
+     * of one that would meet it.
+     */
+    private isCrowded(now: Milliseconds): boolean {
+        if (this.queue.length === 0) {
+            this.crowdedSince = undefined;
+            return false;
+        }
+        this.crowdedSince ??= now;
+        return now - this.crowdedSince >= crowdedAfterMs && this.queue.length > 1;
+    }
+
     /** Number of calls that run in the target. */
     get runningCalls(): number {
         return this.running.size;
@@ -250,6 +346,16 @@
         return this.queue.length;
     }
 
+    /** Number of calls that the target may run at once: its slots, or fewer if it was found to handle fewer well. */
+    get usableSlots(): number {
+        return this.accepted.limitWithin(this.slotLimit.limitWithin(this.slots));
+    }
+
+    /** The same without a limit that is only being tried. */
+    get learnedSlots(): number {
+        return this.accepted.limitWithin(this.slotLimit.learnedWithin(this.slots));
+    }
+
     /** Load report for a response to a call on the route. */
     load(route: string, transferMs: Milliseconds): TargetLoad {
         return {
@@ -257,6 +363,7 @@
             running: this.running.size,
             queued: this.queue.length,
             slots: this.slots,
+            ...this.learnedSlots < this.slots && { usableSlots: this.learnedSlots },
             runTimeMs: this.runTimes.expectedMs(route),
             sendMs: this.expectedSendMs(transferMs, this.runTimes.expectedMs(route)),
             meanRunTimeMs: this.runTimes.meanMs,
@@ -265,12 +372,23 @@
         };
     }
 
-    private grant(call: OfferedCall): Extract<OfferDecision, { kind: OfferDecisionKind.Granted }> {
-        const { route, organisation, transferMs } = call;
+    private grant(call: OfferedCall, arrival: Arrival): Extract<OfferDecision, { kind: OfferDecisionKind.Granted }> {
+        const { route, organisation, transferMs, objectiveAt } = call;
         const chargedMs = this.expectedRunMs(call);
         this.fairShare.charge(organisation, chargedMs);
-        const startedAt = this.options.clock.now();
-        this.running.set(call.callId, { route, organisation, startedAt, transferMs, chargedMs });
+        const place = this.running.size + 1;
+        this.running.set(call.callId, {
+            route,
+            organisation,
+            startedAt: this.options.clock.now(),
+            transferMs,
+            chargedMs,
+            place,
+            objectiveAt,
+            arrival,
+            hasInnerCalls: false,
+        });
+        this.unanswered.recordStart(call.callId, { route, deadlineAt: call.deadlineAt, place });
         return { kind: OfferDecisionKind.Granted, callId: call.callId };
     }
 
@@ -278,17 +396,17 @@
         const events = this.expireQueued();
         while (this.queue.length > 0 && this.mayStart()) {
             const next = this.dequeueNext();
-            events.push(this.grant(next));
+            events.push(this.grant(next.call, next.arrival));
         }
         return events;
     }
 
     /** Whether one more call may start now; takes it from the limit. */
     private mayStart(): boolean {
-        return this.running.size < this.slots && this.limit.tryTake();
+        return this.running.size < this.usableSlots && this.limit.tryTake();
     }
 
-    private dequeueNext(): OfferedCall {
+    private dequeueNext(): QueuedCall {
         const now = this.options.clock.now();
         let best = 0;
         for (let index = 1; index < this.queue.length; index++) {
@@ -296,7 +414,7 @@
                 best = index;
             }
         }
-        return (this.queue.splice(best, 1)[0] as QueuedCall).call;
+        return this.queue.splice(best, 1)[0] as QueuedCall;
     }
 
     /**
@@ -327,10 +445,14 @@
      * ignored and only its deadline limits it.
      */
     private latestEndAt(call: OfferedCall, now: Milliseconds): Milliseconds {
-        const objectiveAt = Math.min(Math.max(call.objectiveAt, now), call.deadlineAt);
+        const objectiveAt = this.objectiveWithin(call, now);
         return call.isInner ? call.deadlineAt : objectiveAt + queueGraceShare * (call.deadlineAt - objectiveAt);
     }
 
+    private objectiveWithin(call: OfferedCall, now: Milliseconds): Milliseconds {
+        return Math.min(Math.max(call.objectiveAt, now), call.deadlineAt);
+    }
+
     private canMeetObjective(call: OfferedCall, now: Milliseconds): boolean {
         return now + objectiveSafetyFactor * this.expectedRunMs(call) <= call.objectiveAt;
     }
@@ -367,7 +489,7 @@
 
     /** Expected time until the given number of queued calls have started. */
     private startDelayMs(calls: number): Milliseconds {
-        return Math.max(calls * this.runTimes.meanMs / Math.max(1, this.slots), this.limit.delayMs(calls));
+        return Math.max(calls * this.runTimes.meanMs / Math.max(1, this.usableSlots), this.limit.delayMs(calls));
     }
 
     private unavailableReason(): CallReason {
--- a/daemons/node/test/faultMatrix/oddInputs.ts
+++ b/daemons/node/test/faultMatrix/oddInputs.ts
@@ -24,6 +24,7 @@
 const silentLink = "platform/test/silentLink.test.ts";
 const quotaPlay = "coordination/quotas/test/quotaPlay.test.ts";
 const quotaTask = "platform/test/quotaTask.test.ts";
+const silentTargets = "platform/test/silentTargets.test.ts";
 
 function createInput(from: string, input: string, file: string, test: string): OddInput {
     return { from, input, file, test };
@@ -42,6 +43,9 @@
     createInput("target", "crash within a response", calls, "within the response"),
     createInput("target", "crash within a streamed response", calls, "within a streamed response"),
     createInput("target", "crash within a refusal", calls, "within a refusal are quarantined"),
+    createInput("target", "no response to a request that it cannot queue", silentTargets, "by its second target"),
+    createInput("target", "informational response and nothing else", silentTargets, "TargetBehaviour.Informational"),
+    createInput("target", "start of a head and nothing else", silentTargets, "TargetBehaviour.StallHead"),
     createInput("caller", "header name that cannot be sent", invalidHeaders, "is refused with 400 before it reaches a target"),
     createInput("caller", "header name that cannot be sent, to `daemons/node`", malformed, "header name with a space"),
     createInput("caller", "odd credentials", organisations, "refuse odd credentials with 401"),
--- a/daemons/sidecar/src/gauges.ts
+++ b/daemons/sidecar/src/gauges.ts
@@ -36,6 +36,8 @@
         { name: "target_calls", help: "Calls in the target or waiting for it.", read: () => targetTask.inProgress },
         { name: "target_calls_sent", help: "Calls sent to the target since the start.", read: () => targetTask.sentCalls },
         { name: "target_request_limit", help: "Calls per second that the target accepts; 0 without a limit.", read: () => targetTask.requestLimit },
+        { name: "target_slots", help: "Slots that the target announces.", read: () => targetTask.slots.announced },
+        { name: "target_usable_slots", help: "Calls at once that the target is found to handle well.", read: () => targetTask.slots.learned },
         { name: "buffered_bytes", help: "Bytes of requests and responses held for callers.", read: () => bufferBudget.used },
         { name: "clients_connected", help: "Open connections of callers.", read: () => parts.clientConnections },
         { name: "clients_evicted", help: "Requests and responses that gave up their memory.", read: () => bufferBudget.evictions },
