Do not start calls whose inner calls find no room

Cause: a call whose inner calls are refused fails after it has held a slot, and its inner calls have crowded out others.

Change: the target's node counts the inner calls of its target by the route of the outer call, and those that are refused or past their deadline without having run. It refuses a share of the calls of that route as overloaded, with a Retry-After, by a number that each node computes alike from the identifier of the call. Without refused inner calls nothing is refused.

The path through the sidecar (callerTask to targetTask) is covered by types only, no test of processes.

--- a/bench/src/loadModel/modelCall.ts
+++ b/bench/src/loadModel/modelCall.ts
@@ -79,12 +79,14 @@
     private readonly attempts = new Map<number, ModelAttempt>();
     private readonly startedAt: Milliseconds;
     private readonly objectiveAt: Milliseconds;
+    private readonly draw: number;
 
     constructor(private readonly request: ModelCallRequest, private readonly context: ModelCallContext) {
         const { node, className, deadlineAt, priority, isInner, isFromRepeat } = request;
         const { directory, budgets, latencies } = node;
         const route = context.routeOf(className);
         this.startedAt = context.now();
+        this.draw = context.nextFraction();
         const clock = { now: () => context.now(), wallTime: () => context.now() };
         const service = this.callClass.service;
         this.plan = new CallPlan(
@@ -163,6 +165,7 @@
                 objectiveAt: this.objectiveAt,
                 deadlineAt,
                 transferMs: 0,
+                draw: () => this.draw,
             });
             if (decision.kind === OfferDecisionKind.Queued) {
                 this.atCaller(attempt, () => this.perform(this.plan.handleQueued(offer.attempt)));
@@ -200,6 +203,7 @@
             deadlineAt: request.deadlineAt,
             priority: request.priority,
             isRepeat: offer.isRepeat || request.isFromRepeat,
+            handleInnerCallEnd: isRefused => target.queue.recordInnerCallEnd(request.className, isRefused),
             handleInnerCall: () => target.queue.recordProgress(key),
             handleEnd: (result, busyMs) => {
                 target.busyMs += busyMs;
--- a/bench/src/loadModel/targetRun.ts
+++ b/bench/src/loadModel/targetRun.ts
@@ -19,6 +19,7 @@
     readonly isRepeat: boolean;
     /** Called when the run makes an inner call. */
     handleInnerCall(): void;
+    handleInnerCallEnd(isRefused: boolean): void;
     handleEnd(result: RunResult, busyMs: Milliseconds): void;
 }
 
@@ -88,6 +89,7 @@
             isFromRepeat: isRepeat,
             handleEnd: end => {
                 this.innerCalls.delete(call);
+                this.options.handleInnerCallEnd(end.kind === CallEndKind.Refused);
                 handleEnd(end);
             },
         });
--- a/coordination/forwarding/src/index.ts
+++ b/coordination/forwarding/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./concurrencyLimit";
 export * from "./callPlanTypes";
 export * from "./routeLatencyTable";
+export * from "./innerCallRoom";
 export * from "./peerRecord";
 export * from "./requestLimit";
 export * from "./responseTimes";
--- a/coordination/forwarding/src/targetQueue.ts
+++ b/coordination/forwarding/src/targetQueue.ts
@@ -12,6 +12,7 @@
 import { TargetAvailability, type TargetLoad } from "@bilberrycroft/protocol.forwarding";
 import { AcceptedCalls } from "./acceptedCalls";
 import { ConcurrencyLimit, type SlotLimit } from "./concurrencyLimit";
+import { InnerCallRoom } from "./innerCallRoom";
 import { RequestLimit } from "./requestLimit";
 import { RunTimeEstimates } from "./runTimes";
 import { UnansweredCalls } from "./unansweredCalls";
@@ -29,6 +30,8 @@
     readonly deadlineAt: Milliseconds;
     /** Estimated time to send the response over this host's link. */
     readonly transferMs: Milliseconds;
+    /** Returns a number from 0 to 1 that belongs to the call, the same at every target; 1 by default. */
+    draw?(): number;
 }
 
 export enum OfferDecisionKind {
@@ -117,7 +120,7 @@
     readonly place: number;
     readonly objectiveAt: Milliseconds;
     readonly arrival: Arrival;
-    hasInnerCalls: boolean;
+    innerCalls: number;
 }
 
 export class TargetQueue {
@@ -132,6 +135,7 @@
     private readonly unanswered: UnansweredCalls;
     private readonly accepted: AcceptedCalls;
     private readonly slotLimit: SlotLimit;
+    private readonly innerCallRoom: InnerCallRoom;
     /** Limit that the target names. */
     readonly limit: RequestLimit;
 
@@ -139,6 +143,7 @@
         this.limit = new RequestLimit(options.clock);
         this.unanswered = new UnansweredCalls(options.clock, this.runTimes);
         this.accepted = new AcceptedCalls(options.clock);
+        this.innerCallRoom = new InnerCallRoom(options.clock);
         this.slotLimit = options.slotLimit ?? new ConcurrencyLimit(options.clock);
     }
 
@@ -147,6 +152,7 @@
         this.limit.reset();
         this.accepted.reset();
         this.slotLimit.reset();
+        this.innerCallRoom.reset();
     }
 
     /** Updates the target's slots and availability; returns the queued calls that are now granted or refused. */
@@ -169,6 +175,9 @@
         if (now + this.expectedRunMs(call) >= call.deadlineAt && call.deadlineAt - now < this.runTimes.meanMs) {
             return this.refuse(call, CallReason.DeadlinePassed);
         }
+        if (!call.isInner && this.innerCallRoom.refuses(call.route, () => call.draw?.() ?? 1)) {
+            return this.refuse(call, CallReason.Overloaded);
+        }
         const sendAfterRunMs = this.expectedSendMs(call.transferMs, this.expectedRunMs(call));
         if (sendAfterRunMs > 0 && now + this.expectedRunMs(call) + sendAfterRunMs > call.deadlineAt) {
             return this.refuse(call, CallReason.Overloaded);
@@ -200,6 +209,7 @@
             return [];
         }
         this.running.delete(callId);
+        this.innerCallRoom.recordCall(call.route, call.innerCalls);
         this.unanswered.recordEnd(callId, result === RunResult.Answered || result === RunResult.Failed);
         if (result === RunResult.Unqueued) {
             this.accepted.recordOverflow(call.place - 1, call.startedAt);
@@ -215,14 +225,14 @@
         return this.startNext();
     }
 
-    private recordRun({ route, startedAt, place, objectiveAt, arrival, hasInnerCalls }: RunningCall): void {
+    private recordRun({ route, startedAt, place, objectiveAt, arrival, innerCalls }: RunningCall): void {
         const now = this.options.clock.now();
         this.runTimes.add(route, now - startedAt);
         this.slotLimit.recordRun({
             route,
             runMs: now - startedAt,
             running: place,
-            hasInnerCalls,
+            hasInnerCalls: innerCalls > 0,
             period: arrival.period,
             isInTime: now <= objectiveAt,
             objectiveMs: objectiveAt - arrival.at,
@@ -233,11 +243,16 @@
     recordProgress(callId: string): void {
         const call = this.running.get(callId);
         if (call !== undefined) {
-            call.hasInnerCalls = true;
+            call.innerCalls++;
         }
         this.unanswered.recordProgress(callId);
     }
 
+    /** Records the end of an inner call of a call on the route; `isRefused` if there was no room for it. */
+    recordInnerCallEnd(route: string, isRefused: boolean): void {
+        this.innerCallRoom.recordInnerCall(route, isRefused);
+    }
+
     /** Running calls that the target has probably never queued; `hasProgress` tells whether any byte has arrived. */
     findUnanswered(hasProgress: (callId: string) => boolean): string[] {
         return this.unanswered.findOverdue(hasProgress);
@@ -326,7 +341,7 @@
         const { route, transferMs, objectiveAt } = call;
         const place = this.running.size + 1;
         const startedAt = this.options.clock.now();
-        const running = { route, startedAt, transferMs, place, objectiveAt, arrival, hasInnerCalls: false };
+        const running = { route, startedAt, transferMs, place, objectiveAt, arrival, innerCalls: 0 };
         this.running.set(call.callId, running);
         this.unanswered.recordStart(call.callId, { route, deadlineAt: call.deadlineAt, place });
         return { kind: OfferDecisionKind.Granted, callId: call.callId };
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -270,6 +270,7 @@
             metrics,
             budgets: this.retryBudgets,
             findRunningCall: callId => this.targetTask.findRunningCall(callId),
+            recordInnerCall: (route, isRefused) => this.targetTask.recordInnerCall(route, isRefused),
             service: settings.service,
             getLocalVersions: () => this.getLocalVersions(),
             handlePeerVersions: versions => this.handlePeerVersions(versions),
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -33,6 +33,8 @@
     readonly metrics: CallMetrics;
     /** Returns the call with this identifier if it is running in the local target. */
     findRunningCall(callId: string): Offer | undefined;
+    /** Records the end of an inner call of the local target, by the route of its parent. */
+    recordInnerCall(parentRoute: string, isRefused: boolean): void;
     /** Service of the local target. */
     readonly service: string;
 }
@@ -225,6 +227,10 @@
     private recordEnd(call: AcceptedCall, service: string, end: CallEnd): void {
         const { clock, log, metrics } = this.options;
         const latencyMs = clock.now() - call.startedAt;
+        if (call.parent !== undefined) {
+            const isRefused = end.reason === CallReason.Overloaded || end.reason === CallReason.DeadlinePassed;
+            this.options.recordInnerCall(call.parent.route, isRefused);
+        }
         metrics.recordCall({ route: call.route, service, outcome: end.outcome, reason: end.reason, latencyMs });
         if (end.outcome === CallOutcome.Done) {
             this.latencies.latenciesOf(call.route).record(latencyMs);
--- a/daemons/sidecar/src/tasks/targetTask.ts
+++ b/daemons/sidecar/src/tasks/targetTask.ts
@@ -2,6 +2,7 @@
  * Queues the calls that nodes offer to the local target, runs the granted ones, and tracks the target's availability.
  */
 import {
+    drawOf,
     ResponseSizes,
     type OfferDecision,
     OfferDecisionKind,
@@ -152,6 +153,11 @@
         return this.options.queue.limit.callsPerSecond ?? 0;
     }
 
+    /** Records the end of an inner call of the target; calls whose inner calls find no room are refused. */
+    recordInnerCall(parentRoute: string, isRefused: boolean): void {
+        this.options.queue.recordInnerCallEnd(parentRoute, isRefused);
+    }
+
     /** Slots that the target announces, and the number of calls that it is found to handle well at once. */
     get slots(): { readonly announced: number; readonly learned: number } {
         return { announced: this.options.target.announced?.slots ?? 0, learned: this.options.queue.learnedSlots };
@@ -251,6 +257,7 @@
             objectiveAt: now + offer.objectiveMs,
             deadlineAt,
             transferMs: this.estimateTransferMs(offer.route),
+            draw: () => drawOf(offer.callId),
         }));
     }
 
