--- a/coordination/forwarding/src/targetQueue.ts
+++ b/coordination/forwarding/src/targetQueue.ts
@@ -13,71 +13,19 @@
 import { AcceptedCalls } from "./acceptedCalls";
 import { ConcurrencyLimit, type SlotLimit } from "./concurrencyLimit";
 import { FairShare, type OrganisationName } from "./fairShare";
+import { InnerCallRoom } from "./innerCallRoom";
 import { RequestLimit } from "./requestLimit";
 import { RunTimeEstimates } from "./runTimes";
+import {
+    type OfferDecision,
+    OfferDecisionKind,
+    type OfferedCall,
+    type OfferRefusal,
+    type QueueEvent,
+    RunResult,
+} from "./targetQueueTypes";
 import { UnansweredCalls } from "./unansweredCalls";
 
-/** A call offered by another node. */
-export interface OfferedCall {
-    readonly callId: string;
-    readonly route: string;
-    readonly priority: number;
-    /** `undefined` for calls that belong to none; they count as one organisation. */
-    readonly organisation?: string | undefined;
-    /** The call was made by a target while it ran another call. */
-    readonly isInner: boolean;
-    /** The call is granted only if a slot is free now; it is never queued. */
-    readonly spareOnly: boolean;
-    readonly objectiveAt: Milliseconds;
-    readonly deadlineAt: Milliseconds;
-    /** Estimated time to send the response over this host's link. */
-    readonly transferMs: Milliseconds;
-}
-
-export enum OfferDecisionKind {
-    Granted = "granted",
-    Queued = "queued",
-    Refused = "refused",
-}
-
-export type OfferDecision =
-    | { readonly kind: OfferDecisionKind.Granted; readonly callId: string }
-    | {
-        readonly kind: OfferDecisionKind.Queued;
-        readonly callId: string;
-        readonly expectedWaitMs: Milliseconds;
-        /** Refusal of a queued call of another organisation that gives way to this one. */
-        readonly evicted?: OfferRefusal;
-    }
-    | OfferRefusal;
-
-/** The offer was refused without reaching the target. */
-export interface OfferRefusal {
-    readonly kind: OfferDecisionKind.Refused;
-    readonly callId: string;
-    readonly reason: CallReason;
-    /** Delay after which a retry is sensible. */
-    readonly retryAfterMs: Milliseconds;
-}
-
-/** Decision on a queued call. */
-export type QueueEvent = Extract<OfferDecision, { kind: OfferDecisionKind.Granted | OfferDecisionKind.Refused }>;
-
-export enum RunResult {
-    /** The target responded. */
-    Answered = "answered",
-    /** The target responded with a failure. */
-    Failed = "failed",
-    /** The target responded that it did not run the call. */
-    Shed = "shed",
-    /** No usable response arrived. */
-    Broken = "broken",
-    /** No byte of a response arrived, and the target has probably never queued the call because it was full. */
-    Unqueued = "unqueued",
-    /** The call was cancelled before it ended. */
-    Cancelled = "cancelled",
-}
-
 export interface TargetQueueOptions {
     readonly clock: Clock;
     readonly random: Random;
@@ -129,7 +77,7 @@
     readonly place: number;
     readonly objectiveAt: Milliseconds;
     readonly arrival: Arrival;
-    hasInnerCalls: boolean;
+    innerCalls: number;
 }
 
 export class TargetQueue {
@@ -145,6 +93,7 @@
     private readonly unanswered: UnansweredCalls;
     private readonly accepted: AcceptedCalls;
     private readonly slotLimit: SlotLimit;
+    private readonly innerCallRoom: InnerCallRoom;
     /** Limit that the target names. */
     readonly limit: RequestLimit;
 
@@ -153,6 +102,7 @@
         this.fairShare = new FairShare(options.clock);
         this.unanswered = new UnansweredCalls(options.clock, this.runTimes);
         this.accepted = new AcceptedCalls(options.clock);
+        this.innerCallRoom = new InnerCallRoom(options.clock);
         this.slotLimit = options.slotLimit ?? new ConcurrencyLimit(options.clock);
     }
 
@@ -161,6 +111,7 @@
         this.limit.reset();
         this.accepted.reset();
         this.slotLimit.reset();
+        this.innerCallRoom.reset();
     }
 
     /** Updates the target's slots and availability; returns the queued calls that are now granted or refused. */
@@ -184,6 +135,9 @@
         if (now + this.expectedRunMs(call) >= call.deadlineAt && call.deadlineAt - now < this.runTimes.meanMs) {
             return this.refuse(call, CallReason.DeadlinePassed);
         }
+        if (!call.isInner && this.innerCallRoom.refuses(call.route, () => call.draw?.() ?? 1)) {
+            return this.refuse(call, CallReason.Overloaded);
+        }
         const sendAfterRunMs = this.expectedSendMs(call.transferMs, this.expectedRunMs(call));
         if (sendAfterRunMs > 0 && now + this.expectedRunMs(call) + sendAfterRunMs > call.deadlineAt) {
             return this.refuse(call, CallReason.Overloaded);
@@ -250,6 +204,7 @@
         }
         this.running.delete(callId);
         this.fairShare.charge(call.organisation, this.options.clock.now() - call.startedAt - call.chargedMs);
+        this.innerCallRoom.recordCall(call.route, call.innerCalls);
         this.unanswered.recordEnd(callId, result === RunResult.Answered || result === RunResult.Failed);
         if (result === RunResult.Unqueued) {
             this.accepted.recordOverflow(call.place - 1, call.startedAt);
@@ -265,14 +220,14 @@
         return this.startNext();
     }
 
-    private recordRun({ route, startedAt, place, objectiveAt, arrival, hasInnerCalls }: RunningCall): void {
+    private recordRun({ route, startedAt, place, objectiveAt, arrival, innerCalls }: RunningCall): void {
         const now = this.options.clock.now();
         this.runTimes.add(route, now - startedAt);
         this.slotLimit.recordRun({
             route,
             runMs: now - startedAt,
             running: place,
-            hasInnerCalls,
+            hasInnerCalls: innerCalls > 0,
             period: arrival.period,
             isInTime: now <= objectiveAt,
             objectiveMs: objectiveAt - arrival.at,
@@ -283,11 +238,16 @@
     recordProgress(callId: string): void {
         const call = this.running.get(callId);
         if (call !== undefined) {
-            call.hasInnerCalls = true;
+            call.innerCalls++;
         }
         this.unanswered.recordProgress(callId);
     }
 
+    /** Records the end of an inner call of a call on the route; `isRefused` if there was no room for it. */
+    recordInnerCallEnd(route: string, isRefused: boolean): void {
+        this.innerCallRoom.recordInnerCall(route, isRefused);
+    }
+
     /** Running calls that the target has probably never queued; `hasProgress` tells whether any byte has arrived. */
     findUnanswered(hasProgress: (callId: string) => boolean): string[] {
         return this.unanswered.findOverdue(hasProgress);
@@ -386,7 +346,7 @@
             place,
             objectiveAt,
             arrival,
-            hasInnerCalls: false,
+            innerCalls: 0,
         });
         this.unanswered.recordStart(call.callId, { route, deadlineAt: call.deadlineAt, place });
         return { kind: OfferDecisionKind.Granted, callId: call.callId };
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -327,6 +327,7 @@
             budgets: this.retryBudgets,
             quotas: this.quotaTask,
             findRunningCall: callId => this.targetTask.findRunningCall(callId),
+            recordInnerCall: (route, isRefused) => this.targetTask.recordInnerCall(route, isRefused),
             // A change that the store acknowledged after the last confirmation may be as old as that confirmation.
             isRevocationDue: () => settings.strictRevocation
                 && clock.now() - this.configurationCollection.confirmedAt >= settings.revocationMs,
--- a/daemons/sidecar/src/tasks/targetTask.ts
+++ b/daemons/sidecar/src/tasks/targetTask.ts
@@ -3,6 +3,7 @@
  */
 import {
     type BufferBudget,
+    drawOf,
     ResponseSizes,
     type OfferDecision,
     OfferDecisionKind,
@@ -164,6 +165,11 @@
         return this.options.queue.limit.callsPerSecond ?? 0;
     }
 
+    /** Records the end of an inner call of the target; calls whose inner calls find no room are refused. */
+    recordInnerCall(parentRoute: string, isRefused: boolean): void {
+        this.options.queue.recordInnerCallEnd(parentRoute, isRefused);
+    }
+
     /** Slots that the target announces, and the number of calls that it is found to handle well at once. */
     get slots(): { readonly announced: number; readonly learned: number } {
         return { announced: this.options.target.announced?.slots ?? 0, learned: this.options.queue.learnedSlots };
@@ -262,6 +268,7 @@
             objectiveAt: now + offer.objectiveMs,
             deadlineAt,
             transferMs: this.estimateTransferMs(offer.route),
+            draw: () => drawOf(offer.callId),
         }));
     }
 
