Count calls that a target never queued as losses of its version

Cause: calls that were left without a response were evidence against a version when their deadline passed. Since they are ended earlier as unqueued they were no evidence, so a version that hangs in some of its calls would be taken as good.

Change: TargetEvidence counts them as lost, as before. targetEvidence.test.ts fails without the change.

--- a/daemons/sidecar/src/tasks/targetEvidence.ts
+++ b/daemons/sidecar/src/tasks/targetEvidence.ts
@@ -25,6 +25,8 @@
     [RunResult.Answered]: RunOutcome.Answered,
     [RunResult.Failed]: RunOutcome.Failed,
     [RunResult.Broken]: RunOutcome.Lost,
+    // A version that hangs in some of its calls looks like one that does not queue them.
+    [RunResult.Unqueued]: RunOutcome.Lost,
     [RunResult.Cancelled]: RunOutcome.Cancelled,
 };
 
