--- a/bench/src/loadModel/targetRun.ts
+++ b/bench/src/loadModel/targetRun.ts
@@ -17,6 +17,9 @@
     readonly priority: number;
     /** Whether the call may run or have run elsewhere, so that its inner calls are repeats. */
     readonly isRepeat: boolean;
+    /** Called when the run makes an inner call. */
+    handleInnerCall(): void;
+    handleInnerCallEnd(isRefused: boolean): void;
     handleEnd(result: RunResult, busyMs: Milliseconds): void;
 }
 
@@ -86,10 +89,12 @@
             isFromRepeat: isRepeat,
             handleEnd: end => {
                 this.innerCalls.delete(call);
+                this.options.handleInnerCallEnd(end.kind === CallEndKind.Refused);
                 handleEnd(end);
             },
         });
         this.innerCalls.add(call);
+        this.options.handleInnerCall();
         call.start();
     }
 
--- a/coordination/forwarding/src/targetQueue.ts
+++ b/coordination/forwarding/src/targetQueue.ts
@@ -10,74 +10,29 @@
 import type { Random } from "@bilberrycroft/core.random";
 import { CallReason } from "@bilberrycroft/protocol.calls";
 import { TargetAvailability, type TargetLoad } from "@bilberrycroft/protocol.forwarding";
+import { AcceptedCalls } from "./acceptedCalls";
+import { ConcurrencyLimit, type SlotLimit } from "./concurrencyLimit";
 import { FairShare, type OrganisationName } from "./fairShare";
+import { InnerCallRoom } from "./innerCallRoom";
 import { RequestLimit } from "./requestLimit";
 import { RunTimeEstimates } from "./runTimes";
-
-/** A call offered by another node. */
-export interface OfferedCall {
-    readonly callId: string;
-    readonly route: string;
-    readonly priority: number;
-    /** `undefined` for calls that belong to none; they count as one organisation. */
-    readonly organisation?: string | undefined;
-    /** The call was made by a target while it ran another call. */
-    readonly isInner: boolean;
-    /** The call is granted only if a slot is free now; it is never queued. */
-    readonly spareOnly: boolean;
-    readonly objectiveAt: Milliseconds;
-    readonly deadlineAt: Milliseconds;
-    /** Estimated time to send the response over this host's link. */
-    readonly transferMs: Milliseconds;
-}
-
-export enum OfferDecisionKind {
-    Granted = "granted",
-    Queued = "queued",
-    Refused = "refused",
-}
-
-export type OfferDecision =
-    | { readonly kind: OfferDecisionKind.Granted; readonly callId: string }
-    | {
-        readonly kind: OfferDecisionKind.Queued;
-        readonly callId: string;
-        readonly expectedWaitMs: Milliseconds;
-        /** Refusal of a queued call of another organisation that gives way to this one. */
-        readonly evicted?: OfferRefusal;
-    }
-    | OfferRefusal;
-
-/** The offer was refused without reaching the target. */
-export interface OfferRefusal {
-    readonly kind: OfferDecisionKind.Refused;
-    readonly callId: string;
-    readonly reason: CallReason;
-    /** Delay after which a retry is sensible. */
-    readonly retryAfterMs: Milliseconds;
-}
-
-/** Decision on a queued call. */
-export type QueueEvent = Extract<OfferDecision, { kind: OfferDecisionKind.Granted | OfferDecisionKind.Refused }>;
-
-export enum RunResult {
-    /** The target responded. */
-    Answered = "answered",
-    /** The target responded with a failure. */
-    Failed = "failed",
-    /** The target responded that it did not run the call. */
-    Shed = "shed",
-    /** No usable response arrived. */
-    Broken = "broken",
-    /** The call was cancelled before it ended. */
-    Cancelled = "cancelled",
-}
+import {
+    type OfferDecision,
+    OfferDecisionKind,
+    type OfferedCall,
+    type OfferRefusal,
+    type QueueEvent,
+    RunResult,
+} from "./targetQueueTypes";
+import { UnansweredCalls } from "./unansweredCalls";
 
 export interface TargetQueueOptions {
     readonly clock: Clock;
     readonly random: Random;
     /** Time until all responses that are queued for this host's link are sent. */
     linkBacklogMs(): Milliseconds;
+    /** Number of calls to run at once; learned by default. */
+    readonly slotLimit?: SlotLimit;
 }
 
 /** Maximum queue length; calls in a longer queue could not finish in time. */
@@ -89,6 +44,8 @@
  * caller that is refused early can still retry.
  */
 const queueGraceShare = 0.25;
+/** Shorter crowds are bursts, after which there is room for late responses too. */
+const crowdedAfterMs: Milliseconds = 500;
 /** Responses with a shorter transfer time are not queued behind large ones. */
 const shortTransferMs: Milliseconds = 5;
 const minRetryAfterMs: Milliseconds = 50;
@@ -100,6 +57,13 @@
     readonly call: OfferedCall;
     /** Time from which the call can no longer finish in time. */
     readonly refuseAt: Milliseconds;
+    readonly arrival: Arrival;
+}
+
+/** When a call was offered, and in which period of the learned limit. */
+interface Arrival {
+    readonly at: Milliseconds;
+    readonly period: number;
 }
 
 interface RunningCall {
@@ -109,6 +73,11 @@
     readonly transferMs: Milliseconds;
     /** Run time that was charged to the organisation at the start. */
     readonly chargedMs: Milliseconds;
+    /** Calls that ran when this one started, itself included. */
+    readonly place: number;
+    readonly objectiveAt: Milliseconds;
+    readonly arrival: Arrival;
+    innerCalls: number;
 }
 
 export class TargetQueue {
@@ -119,12 +88,30 @@
     private slots = 0;
     private availability = TargetAvailability.Down;
     private failureShare = 0;
+    /** Time since which the queue has not been empty. */
+    private crowdedSince: Milliseconds | undefined;
+    private readonly unanswered: UnansweredCalls;
+    private readonly accepted: AcceptedCalls;
+    private readonly slotLimit: SlotLimit;
+    private readonly innerCallRoom: InnerCallRoom;
     /** Limit that the target names. */
     readonly limit: RequestLimit;
 
     constructor(private readonly options: TargetQueueOptions) {
         this.limit = new RequestLimit(options.clock);
         this.fairShare = new FairShare(options.clock);
+        this.unanswered = new UnansweredCalls(options.clock, this.runTimes);
+        this.accepted = new AcceptedCalls(options.clock);
+        this.innerCallRoom = new InnerCallRoom(options.clock);
+        this.slotLimit = options.slotLimit ?? new ConcurrencyLimit(options.clock);
+    }
+
+    /** Forgets what was learned of the target, because it was replaced. */
+    handleReplacement(): void {
+        this.limit.reset();
+        this.accepted.reset();
+        this.slotLimit.reset();
+        this.innerCallRoom.reset();
     }
 
     /** Updates the target's slots and availability; returns the queued calls that are now granted or refused. */
@@ -148,12 +135,16 @@
         if (now + this.expectedRunMs(call) >= call.deadlineAt && call.deadlineAt - now < this.runTimes.meanMs) {
             return this.refuse(call, CallReason.DeadlinePassed);
         }
+        if (!call.isInner && this.innerCallRoom.refuses(call.route, () => call.draw?.() ?? 1)) {
+            return this.refuse(call, CallReason.Overloaded);
+        }
         const sendAfterRunMs = this.expectedSendMs(call.transferMs, this.expectedRunMs(call));
         if (sendAfterRunMs > 0 && now + this.expectedRunMs(call) + sendAfterRunMs > call.deadlineAt) {
             return this.refuse(call, CallReason.Overloaded);
         }
+        const arrival = { at: now, period: this.slotLimit.period };
         if (this.queue.length === 0 && this.mayStart()) {
-            return this.grant(call);
+            return this.grant(call, arrival);
         }
         if (call.spareOnly) {
             return this.refuse(call, CallReason.Overloaded);
@@ -164,7 +155,8 @@
         if (!hasRoom && evicted === undefined) {
             return this.refuse(call, CallReason.Overloaded);
         }
-        this.queue.push({ call, refuseAt: this.latestEndAt(call, now) - this.expectedRunMs(call) - call.transferMs });
+        const refuseAt = this.latestEndAt(call, now) - this.expectedRunMs(call) - call.transferMs;
+        this.queue.push({ call, refuseAt, arrival });
         return { kind: OfferDecisionKind.Queued, callId: call.callId, expectedWaitMs, evicted };
     }
 
@@ -172,7 +164,10 @@
     private canWait(call: OfferedCall, waitMs: Milliseconds, now: Milliseconds): boolean {
         const runMs = this.expectedRunMs(call);
         const sendMs = this.expectedSendMs(call.transferMs, waitMs + runMs);
-        return now + waitMs + runMs + sendMs <= this.latestEndAt(call, now);
+        const latestEndAt = this.isCrowded(now) && !call.isInner
+            ? this.objectiveWithin(call, now)
+            : this.latestEndAt(call, now);
+        return now + waitMs + runMs + sendMs <= latestEndAt;
     }
 
     /**
@@ -209,14 +204,59 @@
         }
         this.running.delete(callId);
         this.fairShare.charge(call.organisation, this.options.clock.now() - call.startedAt - call.chargedMs);
+        this.innerCallRoom.recordCall(call.route, call.innerCalls);
+        this.unanswered.recordEnd(callId, result === RunResult.Answered || result === RunResult.Failed);
+        if (result === RunResult.Unqueued) {
+            this.accepted.recordOverflow(call.place - 1, call.startedAt);
+        }
         // Neither a full target nor a cancelled call is a failure of the target.
-        if (result !== RunResult.Cancelled && result !== RunResult.Shed) {
+        if (result !== RunResult.Cancelled && result !== RunResult.Shed && result !== RunResult.Unqueued) {
             const failed = result === RunResult.Answered ? 0 : 1;
             this.failureShare += failureEwmaWeight * (failed - this.failureShare);
         }
         if (result === RunResult.Answered) {
-            this.runTimes.add(call.route, this.options.clock.now() - call.startedAt);
+            this.recordRun(call);
+        }
+        return this.startNext();
+    }
+
+    private recordRun({ route, startedAt, place, objectiveAt, arrival, innerCalls }: RunningCall): void {
+        const now = this.options.clock.now();
+        this.runTimes.add(route, now - startedAt);
+        this.slotLimit.recordRun({
+            route,
+            runMs: now - startedAt,
+            running: place,
+            hasInnerCalls: innerCalls > 0,
+            period: arrival.period,
+            isInTime: now <= objectiveAt,
+            objectiveMs: objectiveAt - arrival.at,
+        });
+    }
+
+    /** The target has shown by an inner call that it runs the call. */
+    recordProgress(callId: string): void {
+        const call = this.running.get(callId);
+        if (call !== undefined) {
+            call.innerCalls++;
         }
+        this.unanswered.recordProgress(callId);
+    }
+
+    /** Records the end of an inner call of a call on the route; `isRefused` if there was no room for it. */
+    recordInnerCallEnd(route: string, isRefused: boolean): void {
+        this.innerCallRoom.recordInnerCall(route, isRefused);
+    }
+
+    /** Running calls that the target has probably never queued; `hasProgress` tells whether any byte has arrived. */
+    findUnanswered(hasProgress: (callId: string) => boolean): string[] {
+        return this.unanswered.findOverdue(hasProgress);
+    }
+
+    /** A call that was ended as `Unqueued` has got its response after all. */
+    retractUnqueued(route: string, runMs: Milliseconds): QueueEvent[] {
+        this.unanswered.recordLateResponse(route, runMs);
+        this.accepted.reset();
         return this.startNext();
     }
 
@@ -232,14 +272,30 @@
 
     private expireQueued(): QueueEvent[] {
         const now = this.options.clock.now();
-        const expired = this.queue.filter(({ refuseAt }) => now >= refuseAt);
+        const isCrowded = this.isCrowded(now);
+        const expired = this.queue.filter(({ call, refuseAt }) =>
+            now >= refuseAt || (isCrowded && !call.isInner && !this.canMeetObjective(call, now)));
         if (expired.length === 0) {
             return [];
         }
-        this.queue = this.queue.filter(({ refuseAt }) => now < refuseAt);
+        const gone = new Set(expired);
+        this.queue = this.queue.filter(queued => !gone.has(queued));
         return expired.map(({ call }) => this.refuse(call, CallReason.Overloaded));
     }
 
+    /**
+     * Whether calls have waited without interruption for a time. A call that misses its objective then takes the place
+     * of one that would meet it.
+     */
+    private isCrowded(now: Milliseconds): boolean {
+        if (this.queue.length === 0) {
+            this.crowdedSince = undefined;
+            return false;
+        }
+        this.crowdedSince ??= now;
+        return now - this.crowdedSince >= crowdedAfterMs && this.queue.length > 1;
+    }
+
     /** Number of calls that run in the target. */
     get runningCalls(): number {
         return this.running.size;
@@ -250,6 +306,16 @@
         return this.queue.length;
     }
 
+    /** Number of calls that the target may run at once: its slots, or fewer if it was found to handle fewer well. */
+    get usableSlots(): number {
+        return this.accepted.limitWithin(this.slotLimit.limitWithin(this.slots));
+    }
+
+    /** The same without a limit that is only being tried. */
+    get learnedSlots(): number {
+        return this.accepted.limitWithin(this.slotLimit.learnedWithin(this.slots));
+    }
+
     /** Load report for a response to a call on the route. */
     load(route: string, transferMs: Milliseconds): TargetLoad {
         return {
@@ -257,6 +323,7 @@
             running: this.running.size,
             queued: this.queue.length,
             slots: this.slots,
+            ...this.learnedSlots < this.slots && { usableSlots: this.learnedSlots },
             runTimeMs: this.runTimes.expectedMs(route),
             sendMs: this.expectedSendMs(transferMs, this.runTimes.expectedMs(route)),
             meanRunTimeMs: this.runTimes.meanMs,
@@ -265,12 +332,23 @@
         };
     }
 
-    private grant(call: OfferedCall): Extract<OfferDecision, { kind: OfferDecisionKind.Granted }> {
-        const { route, organisation, transferMs } = call;
+    private grant(call: OfferedCall, arrival: Arrival): Extract<OfferDecision, { kind: OfferDecisionKind.Granted }> {
+        const { route, organisation, transferMs, objectiveAt } = call;
         const chargedMs = this.expectedRunMs(call);
         this.fairShare.charge(organisation, chargedMs);
-        const startedAt = this.options.clock.now();
-        this.running.set(call.callId, { route, organisation, startedAt, transferMs, chargedMs });
+        const place = this.running.size + 1;
+        this.running.set(call.callId, {
+            route,
+            organisation,
+            startedAt: this.options.clock.now(),
+            transferMs,
+            chargedMs,
+            place,
+            objectiveAt,
+            arrival,
+            innerCalls: 0,
+        });
+        this.unanswered.recordStart(call.callId, { route, deadlineAt: call.deadlineAt, place });
         return { kind: OfferDecisionKind.Granted, callId: call.callId };
     }
 
@@ -278,17 +356,17 @@
         const events = this.expireQueued();
         while (this.queue.length > 0 && this.mayStart()) {
             const next = this.dequeueNext();
-            events.push(this.grant(next));
+            events.push(this.grant(next.call, next.arrival));
         }
         return events;
     }
 
     /** Whether one more call may start now; takes it from the limit. */
     private mayStart(): boolean {
-        return this.running.size < this.slots && this.limit.tryTake();
+        return this.running.size < this.usableSlots && this.limit.tryTake();
     }
 
-    private dequeueNext(): OfferedCall {
+    private dequeueNext(): QueuedCall {
         const now = this.options.clock.now();
         let best = 0;
         for (let index = 1; index < this.queue.length; index++) {
@@ -296,7 +374,7 @@
                 best = index;
             }
         }
-        return (this.queue.splice(best, 1)[0] as QueuedCall).call;
+        return this.queue.splice(best, 1)[0] as QueuedCall;
     }
 
     /**
@@ -327,10 +405,14 @@
      * ignored and only its deadline limits it.
      */
     private latestEndAt(call: OfferedCall, now: Milliseconds): Milliseconds {
-        const objectiveAt = Math.min(Math.max(call.objectiveAt, now), call.deadlineAt);
+        const objectiveAt = this.objectiveWithin(call, now);
         return call.isInner ? call.deadlineAt : objectiveAt + queueGraceShare * (call.deadlineAt - objectiveAt);
     }
 
+    private objectiveWithin(call: OfferedCall, now: Milliseconds): Milliseconds {
+        return Math.min(Math.max(call.objectiveAt, now), call.deadlineAt);
+    }
+
     private canMeetObjective(call: OfferedCall, now: Milliseconds): boolean {
         return now + objectiveSafetyFactor * this.expectedRunMs(call) <= call.objectiveAt;
     }
@@ -367,7 +449,7 @@
 
     /** Expected time until the given number of queued calls have started. */
     private startDelayMs(calls: number): Milliseconds {
-        return Math.max(calls * this.runTimes.meanMs / Math.max(1, this.slots), this.limit.delayMs(calls));
+        return Math.max(calls * this.runTimes.meanMs / Math.max(1, this.usableSlots), this.limit.delayMs(calls));
     }
 
     private unavailableReason(): CallReason {
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -37,6 +37,8 @@
     readonly quotas: CallQuotas | undefined;
     /** Returns the call with this identifier if it is running in the local target. */
     findRunningCall(callId: string): Offer | undefined;
+    /** Records the end of an inner call of the local target, by the route of its parent. */
+    recordInnerCall(parentRoute: string, isRefused: boolean): void;
     /** Whether a peer has reported a configuration version newer than the given one. */
     knowsNewerVersion(version: number): boolean;
     /** Whether a key may have been removed for too long without this node's knowledge, so that none is accepted. */
@@ -320,6 +322,10 @@
         const { clock, log, metrics } = this.options;
         const latencyMs = clock.now() - call.startedAt;
         const { organisation } = call.offer;
+        if (call.parent !== undefined) {
+            const isRefused = end.reason === CallReason.Overloaded || end.reason === CallReason.DeadlinePassed;
+            this.options.recordInnerCall(call.parent.route, isRefused);
+        }
         metrics.recordCall({
             route: call.route,
             service,
--- a/daemons/sidecar/src/tasks/targetTask.ts
+++ b/daemons/sidecar/src/tasks/targetTask.ts
@@ -3,6 +3,7 @@
  */
 import {
     type BufferBudget,
+    drawOf,
     ResponseSizes,
     type OfferDecision,
     OfferDecisionKind,
@@ -26,8 +27,10 @@
 import { probeListener, type TargetClient } from "@bilberrycroft/transport.calls";
 import type { ResponsePacer, IncomingOffer } from "@bilberrycroft/transport.forwarding";
 import { type BrokenConnection, TargetCall, type TargetServices } from "../calls/targetCall";
+import { UnqueuedCalls } from "../calls/unqueuedCalls";
 import type { CallHeaderCodec, TargetResponseHead } from "../ports";
 import { TargetEvidence } from "./targetEvidence";
+import { TargetLimitLog } from "./targetLimitLog";
 
 export interface TargetTaskOptions {
     readonly clock: Clock;
@@ -69,6 +72,12 @@
     bodyTimer: NodeJS.Timeout | undefined;
 }
 
+interface RunningCall {
+    /** Key of the offer in the queue. */
+    readonly key: string;
+    readonly offer: Offer;
+}
+
 interface TimedBrokenConnection extends BrokenConnection {
     /** Wall time at which the connection broke. */
     readonly at: Milliseconds;
@@ -77,11 +86,13 @@
 export class TargetTask {
     private readonly pending = new Map<string, PendingOffer>();
     /** Calls running in the target, by call identifier. */
-    private readonly running = new Map<string, Offer>();
+    private readonly running = new Map<string, RunningCall>();
+    private readonly unqueuedCalls: UnqueuedCalls;
     private readonly services: TargetServices;
     private readonly responseSizes = new ResponseSizes();
     /** What the target's version does during a rollout. */
     readonly evidence: TargetEvidence;
+    private readonly limitLog: TargetLimitLog;
     private responsesInFlight = 0;
     /** Bytes of the bodies of running calls. */
     private heldBodyBytes = 0;
@@ -93,11 +104,16 @@
     private lastTargetState = "";
     private callsSent = 0;
     private lastIncarnation = "";
-    private lastCallsPerSecond: number | undefined;
 
     constructor(private readonly options: TargetTaskOptions) {
-        const { clock, client, codec, log, targetAddress, target } = options;
+        const { clock, client, codec, log, targetAddress, target, queue, faults } = options;
         this.evidence = new TargetEvidence(clock);
+        this.limitLog = new TargetLimitLog({ target, queue, log });
+        this.unqueuedCalls = new UnqueuedCalls({
+            queue,
+            faults,
+            applyQueueEvents: events => this.applyQueueEvents(events),
+        });
         this.services = {
             clock,
             client,
@@ -120,7 +136,10 @@
 
     start(): void {
         this.availabilityTimer = setInterval(
-            () => this.options.faults.run("availability-timer", {}, () => this.updateAvailability()),
+            () => this.options.faults.run("availability-timer", {}, () => {
+                this.updateAvailability();
+                this.unqueuedCalls.check();
+            }),
             availabilityCheckIntervalMs,
         );
     }
@@ -132,7 +151,8 @@
 
     /** Number of running and queued calls, plus responses not fully sent yet. */
     get inProgress(): number {
-        return this.options.queue.runningCalls + this.options.queue.queuedCalls + this.responsesInFlight;
+        const { runningCalls, queuedCalls } = this.options.queue;
+        return runningCalls + queuedCalls + this.unqueuedCalls.size + this.responsesInFlight;
     }
 
     /** Number of calls sent to the target since the start. */
@@ -145,6 +165,16 @@
         return this.options.queue.limit.callsPerSecond ?? 0;
     }
 
+    /** Records the end of an inner call of the target; calls whose inner calls find no room are refused. */
+    recordInnerCall(parentRoute: string, isRefused: boolean): void {
+        this.options.queue.recordInnerCallEnd(parentRoute, isRefused);
+    }
+
+    /** Slots that the target announces, and the number of calls that it is found to handle well at once. */
+    get slots(): { readonly announced: number; readonly learned: number } {
+        return { announced: this.options.target.announced?.slots ?? 0, learned: this.options.queue.learnedSlots };
+    }
+
     /** Refuses new offers, because the node is stopping. */
     startDraining(): void {
         this.isStopping = true;
@@ -160,7 +190,7 @@
         const incarnation = `${announced?.id} ${announced?.startedAt}`;
         if (incarnation !== this.lastIncarnation) {
             this.lastIncarnation = incarnation;
-            queue.limit.reset();
+            queue.handleReplacement();
         }
         const targetState = `${announced?.id} ${availability} ${slots}`;
         if (targetState !== this.lastTargetState) {
@@ -168,11 +198,16 @@
             log.info("target-availability", { target: announced?.id, availability, slots });
             this.applyQueueEvents(queue.setTarget({ slots, availability }));
         }
+        this.limitLog.recordLearnedSlots(slots);
     }
 
-    /** Returns the call with this identifier if it is running in the target. */
+    /** Returns the parent of an inner call if it is running in the target, which the inner call shows. */
     findRunningCall(callId: string): Offer | undefined {
-        return this.running.get(callId);
+        const parent = this.running.get(callId);
+        if (parent !== undefined) {
+            this.options.queue.recordProgress(parent.key);
+        }
+        return parent?.offer;
     }
 
     /** Returns the load and the state versions of this node. */
@@ -212,8 +247,9 @@
         }
         if (offer.targetCallsPerSecond !== undefined) {
             this.options.queue.limit.adopt(offer.targetCallsPerSecond);
-            this.logLimit("peer");
+            this.limitLog.recordLimit("peer", this.callsSent);
         }
+        this.unqueuedCalls.check();
         const now = this.options.clock.now();
         const key = `${offer.callId} ${++this.offerCount}`;
         const deadlineAt = now + offer.deadlineMs;
@@ -232,6 +268,7 @@
             objectiveAt: now + offer.objectiveMs,
             deadlineAt,
             transferMs: this.estimateTransferMs(offer.route),
+            draw: () => drawOf(offer.callId),
         }));
     }
 
@@ -297,7 +334,7 @@
         const { incoming } = pending;
         const { callId, route } = incoming.message.offer;
         void this.options.faults.runAsync("target-call", { call: callId, route }, () => this.runCall(key, pending, body), () => {
-            this.running.delete(callId);
+            this.removeCall(key, callId);
             incoming.reportLoss({ reason: CallReason.AnswerLost, report: this.createReport(route) });
             this.handleFinished(key, RunResult.Broken);
         });
@@ -305,11 +342,12 @@
 
     private async runCall(key: string, { incoming, deadlineAt }: PendingOffer, body: Buffer): Promise<void> {
         const { offer } = incoming.message;
-        this.running.set(offer.callId, offer);
+        this.running.set(offer.callId, { key, offer });
         const { announced } = this.options.target;
         const startedAt = this.options.clock.now();
         const targetStartedAt = announced?.startedAt ?? 0;
         const call = new TargetCall({ incoming, body, deadlineAt, targetStartedAt }, this.services);
+        this.unqueuedCalls.add(key, call);
         incoming.observe({
             onBody: () => undefined,
             onWithdrawn: () => call.handleWithdrawal(),
@@ -321,7 +359,7 @@
             account.set(0);
             this.heldBodyBytes -= body.length;
         });
-        this.running.delete(offer.callId);
+        this.removeCall(key, offer.callId);
         this.evidence.record({ target: announced, route: offer.route, result, startedAt });
         this.responsesInFlight++;
         void call.whenFlushed().then(() => {
@@ -335,7 +373,16 @@
     }
 
     private handleFinished(key: string, result: RunResult): void {
-        this.applyQueueEvents(this.options.queue.finish(key, result));
+        const { queue } = this.options;
+        if (!this.unqueuedCalls.handleFinished(key, result)) {
+            this.applyQueueEvents(queue.finish(key, result));
+            this.unqueuedCalls.check();
+        }
+    }
+
+    private removeCall(key: string, callId: string): void {
+        this.running.delete(callId);
+        this.unqueuedCalls.remove(key);
     }
 
     private handleWithdrawal(key: string): void {
@@ -386,31 +433,13 @@
     private handleTargetHead({ callsPerSecond, isLeaving }: TargetResponseHead, startedAt: Milliseconds): void {
         const { target, queue, handleTargetLeaving } = this.options;
         queue.limit.handleResponse(callsPerSecond);
-        this.logLimit("target");
+        this.limitLog.recordLimit("target", this.callsSent);
         if (isLeaving && target.announced?.startedAt === startedAt && target.leaving === undefined) {
             this.options.log.info("target-leaving", { target: target.announced.id, startedAt, sent: this.callsSent });
             handleTargetLeaving({ id: target.announced.id, startedAt });
         }
     }
 
-    private logLimit(from: "target" | "peer"): void {
-        const { target, queue, log } = this.options;
-        const { callsPerSecond } = queue.limit;
-        const previous = this.lastCallsPerSecond;
-        if (callsPerSecond === undefined && previous === undefined) {
-            return;
-        }
-        const { runningCalls: running, queuedCalls: queued } = queue;
-        const fields = { target: target.announced?.id, callsPerSecond, sent: this.callsSent, running, queued };
-        if (callsPerSecond === previous) {
-            log.sample("target-limited", fields);
-        }
-        else {
-            this.lastCallsPerSecond = callsPerSecond;
-            log.info("target-limit", { ...fields, previous, from });
-        }
-    }
-
     private handleBrokenConnection(connection: BrokenConnection): void {
         this.brokenConnections.push({ ...connection, at: this.options.clock.wallTime() });
         if (this.brokenConnections.length === 1) {
