--- a/coordination/forwarding/src/concurrencyLimit.ts
+++ b/coordination/forwarding/src/concurrencyLimit.ts
@@ -40,6 +40,27 @@
     reset(): void;
 }
 
+/** Always runs as many calls as the target announces. */
+export class AnnouncedSlots implements SlotLimit {
+    readonly period = 0;
+
+    limitWithin(slots: number): number {
+        return slots;
+    }
+
+    learnedWithin(slots: number): number {
+        return slots;
+    }
+
+    recordRun(): void {
+        // Nothing is learned.
+    }
+
+    reset(): void {
+        // Nothing was learned.
+    }
+}
+
 interface Trial {
     readonly candidate: number;
     readonly startedAt: Milliseconds;
--- a/coordination/forwarding/src/targetDirectory.ts
+++ b/coordination/forwarding/src/targetDirectory.ts
@@ -33,6 +33,8 @@
     readonly onUnhealthy?: () => void;
     /** Whether targets are chosen by their versions; versions are ignored otherwise. */
     readonly usesVersions?: boolean;
+    /** Whether calls are placed by the learned speed of targets and spread over new ones; off by default. */
+    readonly learnsCapacity?: boolean | undefined;
 }
 
 /** A target that may be offered a call. */
@@ -172,7 +174,7 @@
         const record = this.records.get(node);
         const now = this.options.clock.now();
         record?.recordLoad(load, route, now);
-        if (record !== undefined && route !== undefined) {
+        if (this.options.learnsCapacity === true && record !== undefined && route !== undefined) {
             const usualMs = this.updateServiceRunTime(`${record.entry.target?.service} ${route}`, load.runTimeMs);
             record.recordSlowness(load.runTimeMs / Math.max(1, usualMs), now);
         }
@@ -317,7 +319,7 @@
 
     /** Mean number of calls by slots, over the targets that have reported their load. */
     private meanLoad(records: readonly PeerRecord[], now: Milliseconds): number {
-        const reported = records.filter(({ hasReport }) => hasReport);
+        const reported = this.options.learnsCapacity === true ? records.filter(({ hasReport }) => hasReport) : [];
         if (reported.length === records.length || reported.length === 0) {
             return 0;
         }
--- a/coordination/forwarding/src/targetQueue.ts
+++ b/coordination/forwarding/src/targetQueue.ts
@@ -11,7 +11,7 @@
 import { CallReason } from "@bilberrycroft/protocol.calls";
 import { TargetAvailability, type TargetLoad } from "@bilberrycroft/protocol.forwarding";
 import { AcceptedCalls } from "./acceptedCalls";
-import { ConcurrencyLimit, type SlotLimit } from "./concurrencyLimit";
+import { AnnouncedSlots, ConcurrencyLimit, type SlotLimit } from "./concurrencyLimit";
 import { FairShare, type OrganisationName } from "./fairShare";
 import { InnerCallRoom } from "./innerCallRoom";
 import { RequestLimit } from "./requestLimit";
@@ -31,7 +31,14 @@
     readonly random: Random;
     /** Time until all responses that are queued for this host's link are sent. */
     linkBacklogMs(): Milliseconds;
-    /** Number of calls to run at once; learned by default. */
+    /**
+     * Whether to learn how many calls the target handles well, and to refuse calls early by what was learned. The
+     * announced slots alone decide by default.
+     */
+    readonly learnsCapacity?: boolean | undefined;
+    /** Whether a target may leave calls that it cannot queue without a response; off by default. */
+    readonly recognizesUnqueuedCalls?: boolean | undefined;
+    /** Number of calls to run at once; learned or announced by default. */
     readonly slotLimit?: SlotLimit;
 }
 
@@ -103,7 +110,9 @@
         this.unanswered = new UnansweredCalls(options.clock, this.runTimes);
         this.accepted = new AcceptedCalls(options.clock);
         this.innerCallRoom = new InnerCallRoom(options.clock);
-        this.slotLimit = options.slotLimit ?? new ConcurrencyLimit(options.clock);
+        const { learnsCapacity, clock } = options;
+        this.slotLimit = options.slotLimit
+            ?? (learnsCapacity === true ? new ConcurrencyLimit(clock) : new AnnouncedSlots());
     }
 
     /** Forgets what was learned of the target, because it was replaced. */
@@ -135,7 +144,7 @@
         if (now + this.expectedRunMs(call) >= call.deadlineAt && call.deadlineAt - now < this.runTimes.meanMs) {
             return this.refuse(call, CallReason.DeadlinePassed);
         }
-        if (!call.isInner && this.innerCallRoom.refuses(call.route, () => call.draw?.() ?? 1)) {
+        if (this.findsNoInnerRoom(call)) {
             return this.refuse(call, CallReason.Overloaded);
         }
         const sendAfterRunMs = this.expectedSendMs(call.transferMs, this.expectedRunMs(call));
@@ -160,6 +169,11 @@
         return { kind: OfferDecisionKind.Queued, callId: call.callId, expectedWaitMs, evicted };
     }
 
+    private findsNoInnerRoom(call: OfferedCall): boolean {
+        return this.options.learnsCapacity === true && !call.isInner
+            && this.innerCallRoom.refuses(call.route, () => call.draw?.() ?? 1);
+    }
+
     /** Whether the call can end in time if it waits that long. */
     private canWait(call: OfferedCall, waitMs: Milliseconds, now: Milliseconds): boolean {
         const runMs = this.expectedRunMs(call);
@@ -250,7 +264,7 @@
 
     /** Running calls that the target has probably never queued; `hasProgress` tells whether any byte has arrived. */
     findUnanswered(hasProgress: (callId: string) => boolean): string[] {
-        return this.unanswered.findOverdue(hasProgress);
+        return this.options.recognizesUnqueuedCalls === true ? this.unanswered.findOverdue(hasProgress) : [];
     }
 
     /** A call that was ended as `Unqueued` has got its response after all. */
@@ -288,7 +302,7 @@
      * of one that would meet it.
      */
     private isCrowded(now: Milliseconds): boolean {
-        if (this.queue.length === 0) {
+        if (this.options.learnsCapacity !== true || this.queue.length === 0) {
             this.crowdedSince = undefined;
             return false;
         }
--- a/coordination/quotas/src/quotaBound.ts
+++ b/coordination/quotas/src/quotaBound.ts
@@ -52,8 +52,8 @@
 
 /**
  * Tokens in the bucket of a new accounting node that grants a share of the rate; negative if the change itself may cost
- * more than the reserve. Small organisations, for which a change costs little, begin with a part of the reserve, because
- * an empty bucket would refuse their calls for as long as a second.
+ * more than the reserve. Small organisations, for which a change costs little, begin with a part of the reserve,
+ * because an empty bucket would refuse their calls for as long as a second.
  */
 export function computeInitialTokens(limit: QuotaLimit, bound: QuotaBound, share: number): number {
     const handoverCalls = share * limit.callsPerSecond * handoverMs / millisecondsPerSecond;
--- a/daemons/sidecar/src/settings.ts
+++ b/daemons/sidecar/src/settings.ts
@@ -42,6 +42,10 @@
     /** Bounds of rollouts; `undefined` if versions are ignored. */
     readonly rollout?: RolloutBounds | undefined;
     readonly clients: ClientSettings;
+    /** Whether nodes learn how many calls targets handle well, and place and refuse calls by it. */
+    readonly learnsCapacity: boolean;
+    /** Whether calls without a response for long are taken for calls that their target has not queued. */
+    readonly recognizesUnqueuedCalls: boolean;
     /** Descriptors that the platform grants to the process; those of the system apply if `undefined`. */
     readonly descriptors: number | undefined;
 }
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -4,8 +4,8 @@
  */
 import { randomInt } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
-import { BufferBudget, RetryBudgets, TargetDirectory, TargetQueue } from "@bilberrycroft/coordination.forwarding";
-import { Quarantine, QuarantineReportKind } from "@bilberrycroft/coordination.quarantine";
+import { BufferBudget } from "@bilberrycroft/coordination.forwarding";
+import { QuarantineReportKind } from "@bilberrycroft/coordination.quarantine";
 import { SourceSelection } from "@bilberrycroft/coordination.relay";
 import { LocalTarget, type TargetDeparture, type TargetHeartbeat } from "@bilberrycroft/coordination.registration";
 import { type Clock, type Milliseconds, SystemClock } from "@bilberrycroft/core.clock";
@@ -29,6 +29,7 @@
 } from "@bilberrycroft/transport.forwarding";
 import { ClientLimitCounts, type ClientLoad } from "./clientLimitCounts";
 import { Collections } from "./collections";
+import { createDecisions, type Decisions } from "./decisions";
 import { createGauges } from "./gauges";
 import { divideMemory } from "./memoryShares";
 import { CallMetrics } from "./metrics";
@@ -77,9 +78,7 @@
     private readonly clientLimits: ClientLimitCounts;
     private readonly pacer: ResponsePacer;
     private readonly targetClient = new TargetClient(this.clock);
-    private readonly directory: TargetDirectory;
-    private readonly quarantine: Quarantine;
-    private readonly retryBudgets: RetryBudgets;
+    private readonly decisions: Decisions;
     private readonly configurationCollection: CollectionTask;
     private readonly nodeCollection: CollectionTask;
     private readonly configurationTask: ConfigurationTask;
@@ -114,19 +113,12 @@
             linkBytesPerSecond: settings.linkBytesPerSecond,
             maxQueuedBytes: pacedBytes,
         });
-        this.directory = new TargetDirectory({
+        this.decisions = createDecisions({
+            settings,
             clock,
-            random: this.random,
-            node: settings.node,
-            zone: settings.zone,
+            random,
             onUnhealthy: () => this.probeTask.schedule(),
-            usesVersions: settings.rollout !== undefined,
-        });
-        this.quarantine = new Quarantine({ node: settings.node, clock });
-        this.retryBudgets = new RetryBudgets({
-            clock,
-            bound: settings.retryBudget,
-            countNodes: () => this.directory.size,
+            linkBacklogMs: () => this.pacer.backlogMs,
         });
         const collections = new Collections({ settings, platform, clock, random, log, faults });
         this.configurationCollection = collections.createConfigurations();
@@ -148,7 +140,7 @@
         this.quotaTask = this.createQuotaTask();
         this.callerTask = this.createCallerTask();
         this.probeTask = new ProbeTask({
-            directory: this.directory,
+            directory: this.decisions.directory,
             client: this.peerClient,
             log,
             faults: this.faults,
@@ -233,7 +225,7 @@
     renderMetrics(): string {
         return this.metrics.render(createGauges({
             configurationTask: this.configurationTask,
-            directory: this.directory,
+            directory: this.decisions.directory,
             callerTask: this.callerTask,
             targetTask: this.targetTask,
             bufferBudget: this.bufferBudget,
@@ -275,17 +267,17 @@
             // What other nodes hear from this one; otherwise two of them would act after an outage of the store.
             isReading: () => this.relayTask.isAnnouncedReader,
             countReadersBefore: () => selection.countReadersBefore(),
-            knownVersionsOf: service => this.directory.knownVersionsOf(service),
+            knownVersionsOf: service => this.decisions.directory.knownVersionsOf(service),
             maxCallMs: service => this.configurationTask.maxTimeoutMs(service),
         });
     }
 
     private createTargetTask(target: LocalTarget): TargetTask {
         const { settings, platform, log } = this.options;
-        const { clock, random, quarantine } = this;
+        const { clock, decisions: { quarantine, targetQueue } } = this;
         return new TargetTask({
             clock,
-            queue: new TargetQueue({ clock, random, linkBacklogMs: () => this.pacer.backlogMs }),
+            queue: targetQueue,
             pacer: this.pacer,
             target,
             quarantine,
@@ -312,7 +304,7 @@
 
     private createCallerTask(): CallerTask {
         const { settings, platform, log } = this.options;
-        const { clock, random, directory, quarantine, metrics } = this;
+        const { clock, random, metrics, decisions: { directory, quarantine, retryBudgets } } = this;
         return new CallerTask({
             clock,
             random,
@@ -324,7 +316,7 @@
             faults: this.faults,
             quarantine,
             metrics,
-            budgets: this.retryBudgets,
+            budgets: retryBudgets,
             quotas: this.quotaTask,
             findRunningCall: callId => this.targetTask.findRunningCall(callId),
             recordInnerCall: (route, isRefused) => this.targetTask.recordInnerCall(route, isRefused),
@@ -362,11 +354,11 @@
         if (this.rolloutTask !== undefined) {
             this.plans = plans;
             const { service } = this.options.settings;
-            this.directory.setRollouts(plans.map(({ plan }) => plan));
+            this.decisions.directory.setRollouts(plans.map(({ plan }) => plan));
             this.targetTask.evidence.setPlan(plans.find(({ plan }) => plan.service === service)?.plan);
             this.rolloutTask.setNodes(entries, plans);
         }
-        this.directory.setEntries(entries);
+        this.decisions.directory.setEntries(entries);
         this.relayTask.setNodes(entries);
         this.quotaTask?.setNodes(entries);
         this.relayTask.handleVersionChange();
@@ -378,7 +370,8 @@
         if (node === this.options.settings.node) {
             return;
         }
-        this.quarantine.mergeReports(crashes.map(crash => ({ kind: QuarantineReportKind.Crash, node, ...crash })));
+        const reports = crashes.map(crash => ({ kind: QuarantineReportKind.Crash, node, ...crash }) as const);
+        this.decisions.quarantine.mergeReports(reports);
         for (const { fingerprint, target, at } of crashes) {
             this.options.log.info("crashes-learned", { from: node, fingerprint, target, at });
         }
@@ -387,7 +380,7 @@
     private handleTargetCrash(crashes: readonly AnnouncedCrash[]): void {
         for (const { target, at, fingerprint, startedAt } of crashes) {
             const ageMs = Math.max(0, at - startedAt);
-            this.quarantine.recordTargetCrash({ target, at, inFlight: [{ fingerprint, ageMs }] });
+            this.decisions.quarantine.recordTargetCrash({ target, at, inFlight: [{ fingerprint, ageMs }] });
         }
         this.registrationTask.addCrashes(crashes);
     }
