--- a/coordination/forwarding/test/concurrencyLimit.test.ts
+++ b/coordination/forwarding/test/concurrencyLimit.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { type SlotLimit } from "@bilberrycroft/coordination.forwarding";
+import { AnnouncedSlots, type SlotLimit } from "@bilberrycroft/coordination.forwarding";
 import { repeatableRoute } from "./fixtures";
 import { LoadPlay, type PlayedLoad, type PlayedResult } from "./loadPlay";
 import { combine, createColdStart, createKnee, createNoise, createSlowTargets } from "./targetModels";
@@ -18,14 +18,9 @@
     route: { ...repeatableRoute, latencyObjectiveMs: 250, timeoutMs: 1_000 },
     deadlineMs: 1_000,
     tracksAges: true,
+    learnsCapacity: true,
 };
-const createFixedSlots = (): SlotLimit => ({
-    period: 0,
-    limitWithin: announced => announced,
-    learnedWithin: announced => announced,
-    recordRun: () => undefined,
-    reset: () => undefined,
-});
+const createFixedSlots = (): SlotLimit => new AnnouncedSlots();
 
 type Changes = (seed: number) => Partial<PlayedLoad>;
 
--- a/coordination/forwarding/test/loadPlay.ts
+++ b/coordination/forwarding/test/loadPlay.ts
@@ -46,7 +46,9 @@
     readonly heavyShare?: number;
     /** Time for which each run waits for inner calls elsewhere, and whether it shows in the run time only later. */
     innerWaitMsAt?(at: Milliseconds): Milliseconds;
-    /** Creates what decides how many calls a target runs at once; learned by default. */
+    /** Whether nodes learn the capacity of targets; off by default, as in the settings. */
+    readonly learnsCapacity?: boolean;
+    /** Creates what decides how many calls a target runs at once; the rest is as `learnsCapacity` says. */
     createSlotLimit?(clock: ManualClock): SlotLimit;
     /** Limit that a target names in a response at the given time, in calls per second. */
     limitOf?(target: number, at: Milliseconds): number | undefined;
@@ -137,7 +139,13 @@
             crashes: [],
         }));
         this.directories = Array.from({ length: load.callerNodes }, (_, index) => {
-            const directory = new TargetDirectory({ clock, random, node: `c-${index}`, zone: "z" });
+            const directory = new TargetDirectory({
+                clock,
+                random,
+                node: `c-${index}`,
+                zone: "z",
+                learnsCapacity: load.learnsCapacity,
+            });
             directory.setEntries(entries);
             return directory;
         });
@@ -145,7 +153,14 @@
         this.lowestSlots = entries.map(() => load.slots);
         this.queues = entries.map(() => {
             const slotLimit = load.createSlotLimit?.(clock);
-            const queue = new TargetQueue({ clock, random, linkBacklogMs: () => 0, ...slotLimit && { slotLimit } });
+            const { learnsCapacity } = load;
+            const queue = new TargetQueue({
+                clock,
+                random,
+                learnsCapacity,
+                linkBacklogMs: () => 0,
+                ...slotLimit && { slotLimit },
+            });
             queue.setTarget({ slots: load.slots, availability: TargetAvailability.Serving });
             return queue;
         });
--- a/coordination/forwarding/test/targetDirectory.test.ts
+++ b/coordination/forwarding/test/targetDirectory.test.ts
@@ -1,6 +1,6 @@
 import { ManualClock } from "@bilberrycroft/core.clock";
 import { createSeededRandom } from "@bilberrycroft/core.random";
-import { type CandidateRequest, TargetDirectory } from "@bilberrycroft/coordination.forwarding";
+import { type CandidateRequest, TargetDirectory, type TargetDirectoryOptions } from "@bilberrycroft/coordination.forwarding";
 import {
     type NodeEntry,
     TargetAvailability,
@@ -33,12 +33,15 @@
 
 describe("TargetDirectory", () => {
     let clock: ManualClock;
+    let options: TargetDirectoryOptions;
     let directory: TargetDirectory;
+    const entries = [createEntry("a", "local"), createEntry("b", "local"), createEntry("c", "remote")];
 
     beforeEach(() => {
         clock = new ManualClock();
-        directory = new TargetDirectory({ clock, random: createSeededRandom(9), node: "caller", zone: "local" });
-        directory.setEntries([createEntry("a", "local"), createEntry("b", "local"), createEntry("c", "remote")]);
+        options = { clock, random: createSeededRandom(9), node: "caller", zone: "local" };
+        directory = new TargetDirectory(options);
+        directory.setEntries(entries);
     });
 
     const choose = (changes: Partial<CandidateRequest> = {}): string | undefined =>
@@ -97,6 +100,11 @@
     });
 
     describe("targets that differ", () => {
+        beforeEach(() => {
+            directory = new TargetDirectory({ ...options, learnsCapacity: true });
+            directory.setEntries(entries);
+        });
+
         it("get calls by the number that they handle well, which is forgotten as the report ages", () => {
             directory.recordLoad("a", createLoad({ running: 2, usableSlots: 2 }), "r");
             directory.recordLoad("b", createLoad({ running: 3 }), "r");
@@ -118,7 +126,7 @@
         it("get neither all calls nor none when they have just started beside full ones", () => {
             const chosen: (string | undefined)[] = [];
             for (let caller = 0; caller < 20; caller++) {
-                const other = new TargetDirectory({ clock, random: createSeededRandom(caller), node: `c${caller}`, zone: "local" });
+                const other = new TargetDirectory({ ...options, random: createSeededRandom(caller), node: `c${caller}`, learnsCapacity: true });
                 other.setEntries(["a", "b", "d", "new"].map(node => createEntry(node, "local")));
                 for (const node of ["a", "b", "d"]) {
                     other.recordLoad(node, createLoad({ running: 4, queued: 2 }), "r");
