Take no hint from the runs of a target that has just started

Slow runs of the start looked like a slowdown.

Ruled out: leaving out the first 10 s alone.

Change: runs of the first 10 s count for no hint, and the deviation of run times starts from a prior of 0.4.

--- a/coordination/forwarding/src/concurrencyLimit.ts
+++ b/coordination/forwarding/src/concurrencyLimit.ts
@@ -50,6 +50,8 @@
     readonly squares: [number, number];
 }
 
+/** Runs of a target that has just started are slow for seconds, whatever runs beside them. */
+const settlingMs: Milliseconds = 10_000;
 const estimateIntervalMs: Milliseconds = 1_000;
 /** A lower limit is tried if the estimate promises at least this much more than the present one. */
 const minPromise = 1.1;
@@ -103,6 +105,7 @@
     private readonly lower = new TrialPause(lowerPauseMs, maxLowerPauseMs);
     private readonly higher = new TrialPause(higherPauseMs, maxHigherPauseMs);
     private meanRunMs: Milliseconds | undefined;
+    private firstRunAt: Milliseconds | undefined;
     /** Share of the runs that alone take longer than the time to their objective. */
     private overlongShare = 0;
     /** Consecutive estimates during which most runs were overlong. */
@@ -124,6 +127,7 @@
         this.lower.reset(0);
         this.higher.reset(0);
         this.meanRunMs = undefined;
+        this.firstRunAt = undefined;
         this.objectiveRatio = undefined;
         this.overlongShare = 0;
         this.collapsedChecks = 0;
@@ -154,7 +158,8 @@
 
     recordRun(run: LimitedRun): void {
         this.meanRunMs = average(this.meanRunMs, run.runMs);
-        if (!run.hasInnerCalls) {
+        this.firstRunAt ??= this.clock.now();
+        if (!run.hasInnerCalls && this.clock.now() - this.firstRunAt >= settlingMs) {
             this.curve.add(run, this.slots);
             const objectiveMs = this.updateObjective(run);
             this.overlongShare = average(this.overlongShare, run.runMs > objectiveMs ? 1 : 0);
--- a/coordination/forwarding/src/slowdownCurve.ts
+++ b/coordination/forwarding/src/slowdownCurve.ts
@@ -41,6 +41,9 @@
 const quantileErrorFactor = 1.32;
 /** Least improvement over a constant run time, as a chi-squared value. */
 const minEvidence = 30;
+/** Deviation assumed at first: levels with one sample each would otherwise show none, and any difference as certain. */
+const priorDeviation = 0.4;
+const priorSamples = 60;
 const iterations = 3;
 const risesPerCall = [0.02, 0.04, 0.06, 0.09, 0.13, 0.18, 0.25, 0.35, 0.5, 0.7, 1];
 /** Bounds memory use when routes are added and removed. */
@@ -132,7 +135,8 @@
             return (findQuantile(values, 0.5) - findQuantile(values, 0.16)) * samples.length;
         });
         const count = byLevel.reduce((sum, samples) => sum + samples.length, 0);
-        return { levels, deviation: Math.max(0.1, spreads.reduce((sum, spread) => sum + spread, 0) / count) };
+        const spreadSum = spreads.reduce((sum, spread) => sum + spread, priorDeviation * priorSamples);
+        return { levels, deviation: spreadSum / (count + priorSamples) };
     }
 }
 
