--- a/coordination/forwarding/test/targetQueue.test.ts
+++ b/coordination/forwarding/test/targetQueue.test.ts
@@ -165,7 +165,8 @@
 
         // Guards against slots that go to late responses while calls wait that could still be in time.
         it("refuses calls that miss their objective once the queue has not been empty for half a second", () => {
-            queue = new TargetQueue({ clock, random: createSeededRandom(seed), learnsCapacity: true, linkBacklogMs: () => 0 });
+            const random = createSeededRandom(seed);
+            queue = new TargetQueue({ clock, random, learnsCapacity: true, linkBacklogMs: () => 0 });
             queue.setTarget(serving);
             const longCall = { objectiveAt: clock.now() + 10_000, deadlineAt: clock.now() + 20_000 };
             fill();
--- a/coordination/forwarding/test/unansweredCalls.test.ts
+++ b/coordination/forwarding/test/unansweredCalls.test.ts
@@ -15,7 +15,8 @@
 
     beforeEach(() => {
         clock = new ManualClock();
-        queue = new TargetQueue({ clock, random: createSeededRandom(1), linkBacklogMs: () => 0 });
+        const random = createSeededRandom(1);
+        queue = new TargetQueue({ clock, random, recognizesUnqueuedCalls: true, linkBacklogMs: () => 0 });
         queue.setTarget({ slots, availability: TargetAvailability.Serving });
         count = 0;
         runUsual(20);
