Keep the crashes of a second target in the history of a request

What was seen: platform/test/calls.test.ts, 'within a refusal are quarantined once ...', timed out in 5 of 6 runs of the whole file beside load. In one, the request crashed one target 269 times in 20 s, and its caller's node never held it.

Cause, in the lines of the nodes: the history keeps the first crash and the newest seven. If the first one is of the target that goes on crashing, its repetitions push out all crashes of the other target; the chain then names one target, and one target does not start a hold. The node of the other target held the request, with the same reports in another order.

Change: the first crash that follows on another target is kept as well. The other dropped ones are the oldest, as before.

Before: the new test of the history fails. After: it passes with 21 others, and all 44 tests of calls.test.ts pass once.

--- a/coordination/quarantine/src/crashHistory.ts
+++ b/coordination/quarantine/src/crashHistory.ts
@@ -39,12 +39,24 @@
         }
         this.crashes.push({ report, receivedAt, ageMs: Math.max(0, wallTime - report.at) });
         this.crashes.sort((left, right) => left.report.at - right.report.at);
-        // The first crash is always kept. Otherwise repeated crashes of one restarted target could push out the only
-        // crash of another target.
-        this.crashes = [...this.crashes.slice(0, 1), ...this.crashes.slice(1).slice(1 - maxCrashReports)];
+        this.dropExcess();
         return true;
     }
 
+    /**
+     * Drops the oldest crashes beyond the maximum, except the first one and the first that follows it on another
+     * target. Otherwise repeated crashes of one restarted target push out those of the other one, and the hold with them.
+     */
+    private dropExcess(): void {
+        const [first] = this.crashes;
+        while (first !== undefined && this.crashes.length > maxCrashReports) {
+            const onOtherTarget = this.crashes.find(({ report }) =>
+                report.target !== first.report.target && report.startedAt >= first.report.at);
+            const index = this.crashes.findIndex(crash => crash !== first && crash !== onOtherTarget);
+            this.crashes.splice(index, 1);
+        }
+    }
+
     /** Drops the crashes before a completion. Returns `false` if this or a later completion is known. */
     recordCompletion(at: Milliseconds): boolean {
         if (at <= this.completedAt) {
--- a/coordination/quarantine/test/quarantine.test.ts
+++ b/coordination/quarantine/test/quarantine.test.ts
@@ -57,6 +57,19 @@
             expect([kindOf(), kindOf("other")]).toEqual([Kind.Held, Kind.Allowed]);
         });
 
+        // Guards against a request that crashes one target for ever, because those of the other one are forgotten.
+        it("starts however often one target crashes, before and after the other one", () => {
+            const { one, crash, kindOf } = createNodes();
+            crash("a");
+            crash("a");
+            crash("b");
+            expect(kindOf("bad", one)).toBe(Kind.Held);
+            for (let count = 0; count < 20; count++) {
+                crash("a");
+            }
+            expect(kindOf("bad", one)).toBe(Kind.Held);
+        });
+
         it("doubles with each failed trial up to 15 min, and allows one trial each time", () => {
             const { crash, kindOf, timeToTrial } = createNodes();
             crash("a");
