--- a/coordination/quarantine/src/crashHistory.ts
+++ b/coordination/quarantine/src/crashHistory.ts
@@ -45,7 +45,7 @@
 
     /**
      * Drops the oldest crashes beyond the maximum, except the first one and the first that follows it on another
-     * target. Otherwise repeated crashes of one restarted target push out those of the other one, and the hold with them.
+     * target. Otherwise repeated crashes of one restarted target push out those of the other, and the hold with them.
      */
     private dropExcess(): void {
         const [first] = this.crashes;
