Write the frames of one turn in one system call

Cause: a short response was written as three frames with a system call each, although the head was corked for one tick: the data arrives in a later tick. Change: a socket is corked until the end of the turn; a close hands over what was sent before.

--- a/transport/forwarding/src/frameConnection.ts
+++ b/transport/forwarding/src/frameConnection.ts
@@ -4,6 +4,7 @@
 import type { Socket } from "node:net";
 import { encodeFrame, encodeFrameStart, type Frame, type FrameKind, FrameReader } from "@bilberrycroft/protocol.forwarding";
 import { recordReadChunk } from "@bilberrycroft/transport.calls";
+import { flushTurn, writeInTurn } from "./turnWrites";
 
 /** A copy of a smaller payload costs less than several writes. */
 const maxJoinedBytes = 65_536;
@@ -39,7 +40,7 @@
 
     /** Sends a frame; returns `false` if the next frame should wait for the `drain` event of the socket. */
     send(frame: Buffer): boolean {
-        return this.socket.destroyed || this.socket.write(frame);
+        return this.socket.destroyed || writeInTurn(this.socket, frame);
     }
 
     /** Sends a frame whose payload is in several buffers, without joining large ones. */
@@ -49,16 +50,16 @@
         }
         const bytes = parts.reduce((sum, part) => sum + part.length, 0);
         if (bytes <= maxJoinedBytes) {
-            this.socket.write(encodeFrame(kind, offerId, parts.length === 1 ? parts[0] : Buffer.concat(parts)));
+            this.send(encodeFrame(kind, offerId, parts.length === 1 ? parts[0] : Buffer.concat(parts)));
             return;
         }
-        this.socket.cork();
-        this.socket.write(encodeFrameStart(kind, offerId, bytes));
-        parts.forEach(part => this.socket.write(part));
-        this.socket.uncork();
+        this.send(encodeFrameStart(kind, offerId, bytes));
+        parts.forEach(part => this.send(part));
     }
 
+    /** Closes the connection. What was sent before is still handed to the system. */
     close(): void {
+        flushTurn(this.socket);
         this.socket.destroy();
     }
 
--- a/transport/forwarding/src/offerListener.ts
+++ b/transport/forwarding/src/offerListener.ts
@@ -23,6 +23,7 @@
 } from "@bilberrycroft/protocol.forwarding";
 import type { ResponsePacer, PacedResponse } from "./responsePacer";
 import { FrameConnection, type FrameFaultHandler } from "./frameConnection";
+import { writeInTurn } from "./turnWrites";
 
 /** Receives the events of an incoming offer. */
 export interface IncomingOfferObserver {
@@ -268,10 +269,7 @@
     }
 
     startResponse(head: ResponseHead): void {
-        // The body usually follows immediately. Corking combines head and body in one write.
-        this.socket.cork();
         this.send(encodeMessage(FrameKind.ResponseHead, this.id, head));
-        process.nextTick(() => this.socket.uncork());
     }
 
     write(data: Buffer): boolean {
@@ -335,6 +333,6 @@
     }
 
     private send(frame: Buffer): boolean {
-        return this.isWithdrawn || this.socket.destroyed || this.socket.write(frame);
+        return this.isWithdrawn || this.socket.destroyed || writeInTurn(this.socket, frame);
     }
 }
