Do no work for parts of the call path that are switched off

Cause: with unqueued calls and learned capacity off, each offer and each end of a call still scheduled a turn of its own to look for unqueued calls, and kept their records; a request without a body still got four listeners, an account and a hash, and a buffered response was written in two parts. Change: the records exist only where the settings ask for them; an empty body is not read; one chunk is sent at once.

--- a/coordination/forwarding/src/targetQueue.ts
+++ b/coordination/forwarding/src/targetQueue.ts
@@ -97,20 +97,22 @@
     private failureShare = 0;
     /** Time since which the queue has not been empty. */
     private crowdedSince: Milliseconds | undefined;
-    private readonly unanswered: UnansweredCalls;
+    /** `undefined` unless unqueued calls are recognized. */
+    private readonly unanswered: UnansweredCalls | undefined;
     private readonly accepted: AcceptedCalls;
     private readonly slotLimit: SlotLimit;
-    private readonly innerCallRoom: InnerCallRoom;
+    /** `undefined` unless capacity is learned. */
+    private readonly innerCallRoom: InnerCallRoom | undefined;
     /** Limit that the target names. */
     readonly limit: RequestLimit;
 
     constructor(private readonly options: TargetQueueOptions) {
         this.limit = new RequestLimit(options.clock);
         this.fairShare = new FairShare(options.clock);
-        this.unanswered = new UnansweredCalls(options.clock, this.runTimes);
         this.accepted = new AcceptedCalls(options.clock);
-        this.innerCallRoom = new InnerCallRoom(options.clock);
-        const { learnsCapacity, clock } = options;
+        const { learnsCapacity, recognizesUnqueuedCalls, clock } = options;
+        this.unanswered = recognizesUnqueuedCalls === true ? new UnansweredCalls(clock, this.runTimes) : undefined;
+        this.innerCallRoom = learnsCapacity === true ? new InnerCallRoom(clock) : undefined;
         this.slotLimit = options.slotLimit
             ?? (learnsCapacity === true ? new ConcurrencyLimit(clock) : new AnnouncedSlots());
     }
@@ -120,7 +122,7 @@
         this.limit.reset();
         this.accepted.reset();
         this.slotLimit.reset();
-        this.innerCallRoom.reset();
+        this.innerCallRoom?.reset();
     }
 
     /** Updates the target's slots and availability; returns the queued calls that are now granted or refused. */
@@ -170,8 +172,7 @@
     }
 
     private findsNoInnerRoom(call: OfferedCall): boolean {
-        return this.options.learnsCapacity === true && !call.isInner
-            && this.innerCallRoom.refuses(call.route, () => call.draw?.() ?? 1);
+        return !call.isInner && this.innerCallRoom?.refuses(call.route, () => call.draw?.() ?? 1) === true;
     }
 
     /** Whether the call can end in time if it waits that long. */
@@ -218,8 +219,8 @@
         }
         this.running.delete(callId);
         this.fairShare.charge(call.organisation, this.options.clock.now() - call.startedAt - call.chargedMs);
-        this.innerCallRoom.recordCall(call.route, call.innerCalls);
-        this.unanswered.recordEnd(callId, result === RunResult.Answered || result === RunResult.Failed);
+        this.innerCallRoom?.recordCall(call.route, call.innerCalls);
+        this.unanswered?.recordEnd(callId, result === RunResult.Answered || result === RunResult.Failed);
         if (result === RunResult.Unqueued) {
             this.accepted.recordOverflow(call.place - 1, call.startedAt);
         }
@@ -254,22 +255,22 @@
         if (call !== undefined) {
             call.innerCalls++;
         }
-        this.unanswered.recordProgress(callId);
+        this.unanswered?.recordProgress(callId);
     }
 
     /** Records the end of an inner call of a call on the route; `isRefused` if there was no room for it. */
     recordInnerCallEnd(route: string, isRefused: boolean): void {
-        this.innerCallRoom.recordInnerCall(route, isRefused);
+        this.innerCallRoom?.recordInnerCall(route, isRefused);
     }
 
     /** Running calls that the target has probably never queued; `hasProgress` tells whether any byte has arrived. */
     findUnanswered(hasProgress: (callId: string) => boolean): string[] {
-        return this.options.recognizesUnqueuedCalls === true ? this.unanswered.findOverdue(hasProgress) : [];
+        return this.unanswered?.findOverdue(hasProgress) ?? [];
     }
 
     /** A call that was ended as `Unqueued` has got its response after all. */
     retractUnqueued(route: string, runMs: Milliseconds): QueueEvent[] {
-        this.unanswered.recordLateResponse(route, runMs);
+        this.unanswered?.recordLateResponse(route, runMs);
         this.accepted.reset();
         return this.startNext();
     }
@@ -310,6 +311,11 @@
         return now - this.crowdedSince >= crowdedAfterMs && this.queue.length > 1;
     }
 
+    /** Whether running calls are checked for ones that the target has never queued. */
+    get recognizesUnqueuedCalls(): boolean {
+        return this.unanswered !== undefined;
+    }
+
     /** Number of calls that run in the target. */
     get runningCalls(): number {
         return this.running.size;
@@ -362,7 +368,7 @@
             arrival,
             innerCalls: 0,
         });
-        this.unanswered.recordStart(call.callId, { route, deadlineAt: call.deadlineAt, place });
+        this.unanswered?.recordStart(call.callId, { route, deadlineAt: call.deadlineAt, place });
         return { kind: OfferDecisionKind.Granted, callId: call.callId };
     }
 
--- a/daemons/sidecar/src/calls/incomingResponse.ts
+++ b/daemons/sidecar/src/calls/incomingResponse.ts
@@ -95,10 +95,15 @@
         }
         response.writeHead(this.head.status, headers);
         this.countUntilTaken(response);
-        // Joining the chunks would hold the response twice.
-        response.cork();
-        this.chunks.forEach(chunk => response.write(chunk));
-        response.end();
+        if (this.chunks.length > 1) {
+            // Joining the chunks would hold the response twice.
+            response.cork();
+            this.chunks.forEach(chunk => response.write(chunk));
+            response.end();
+        }
+        else {
+            response.end(this.chunks[0]);
+        }
         this.chunks.length = 0;
     }
 
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -20,7 +20,7 @@
 import { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
 import type { Offer } from "@bilberrycroft/protocol.forwarding";
 import { authenticate, type Authentication, AuthenticationKind, type Route, type RouteTable } from "@bilberrycroft/state.routes";
-import { BodyOutcomeKind, discardRequestBody, readBodyParts } from "@bilberrycroft/transport.calls";
+import { BodyOutcomeKind, type BodyPartsOutcome, discardRequestBody, readBodyParts } from "@bilberrycroft/transport.calls";
 import { copyHeaders } from "@bilberrycroft/transport.forwarding";
 import { CallerCall } from "../calls/callerCall";
 import type { AcceptedCall, CallEnd, CallerServices } from "../calls/callerCallTypes";
@@ -165,7 +165,9 @@
         const { maxBodyBytes } = table.configuration.callerLimits;
         const requests = options.bufferBudget;
         let account: BufferAccount | undefined;
-        const body = await readBodyParts(request, maxBodyBytes, holder => account = requests.open(holder));
+        const body = mayHaveBody(request)
+            ? await readBodyParts(request, maxBodyBytes, holder => account = requests.open(holder))
+            : readEmptyBody(request);
         switch (body.kind) {
             case BodyOutcomeKind.TooLarge:
                 return refuse(CallReason.BadRequest, bodyTooLargeStatus);
@@ -181,8 +183,9 @@
                 account?.keep();
                 const { parts: bodyParts, bytes: bodyBytes } = body;
                 const content = { bodyParts, bodyBytes };
-                await this.forward({ request, response, head, route, table, authentication, ...content, startedAt })
-                    .finally(() => account?.set(0));
+                const call = { request, response, head, route, table, authentication, ...content, startedAt };
+                const forwarded = this.forward(call);
+                await (account === undefined ? forwarded : forwarded.finally(() => account?.set(0)));
             }
         }
     }
@@ -249,8 +252,6 @@
     private createCall(received: ReceivedCall): AcceptedCall {
         const { request, response, head, route, table, authentication, bodyParts, bodyBytes, startedAt } = received;
         const { options } = this;
-        const digest = createHash("sha256");
-        bodyParts.forEach(part => digest.update(part));
         const waitMs = Math.min(head.waitMs ?? maxWaitMs, maxWaitMs);
         const hasBody = bodyBytes > 0 || mayHaveBody(request);
         const fingerprint = options.quarantine.computeFingerprint({
@@ -258,7 +259,7 @@
             path: request.url ?? "/",
             // Empty, because the same caller may call through any host, regardless of the target on that host.
             tenant: "",
-            bodyDigest: digest.digest("base64url"),
+            bodyDigest: bodyBytes === 0 ? emptyBodyDigest : computeDigest(bodyParts),
         });
         const parent = this.findParent(head);
         // An inner call has what is left of its parent's time, which says nothing about its own age.
@@ -386,6 +387,20 @@
     readonly startedAt: Milliseconds;
 }
 
+function computeDigest(parts: readonly Buffer[]): string {
+    const digest = createHash("sha256");
+    parts.forEach(part => digest.update(part));
+    return digest.digest("base64url");
+}
+
+const emptyBodyDigest = computeDigest([]);
+
+/** Ends a request whose head says that it has no body, so that the next one on the connection is read. */
+function readEmptyBody(request: IncomingMessage): Extract<BodyPartsOutcome, { kind: BodyOutcomeKind.Complete }> {
+    request.resume();
+    return { kind: BodyOutcomeKind.Complete, parts: [], bytes: 0 };
+}
+
 function mayHaveBody({ headers }: IncomingMessage): boolean {
     return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
 }
--- a/daemons/sidecar/src/tasks/targetTask.ts
+++ b/daemons/sidecar/src/tasks/targetTask.ts
@@ -87,7 +87,8 @@
     private readonly pending = new Map<string, PendingOffer>();
     /** Calls running in the target, by call identifier. */
     private readonly running = new Map<string, RunningCall>();
-    private readonly unqueuedCalls: UnqueuedCalls;
+    /** `undefined` if the settings do not ask for the recognition of such calls. */
+    private readonly unqueuedCalls: UnqueuedCalls | undefined;
     private readonly services: TargetServices;
     private readonly responseSizes = new ResponseSizes();
     /** What the target's version does during a rollout. */
@@ -109,11 +110,13 @@
         const { clock, client, codec, log, targetAddress, target, queue, faults } = options;
         this.evidence = new TargetEvidence(clock);
         this.limitLog = new TargetLimitLog({ target, queue, log });
-        this.unqueuedCalls = new UnqueuedCalls({
-            queue,
-            faults,
-            applyQueueEvents: events => this.applyQueueEvents(events),
-        });
+        this.unqueuedCalls = !queue.recognizesUnqueuedCalls
+            ? undefined
+            : new UnqueuedCalls({
+                    queue,
+                    faults,
+                    applyQueueEvents: events => this.applyQueueEvents(events),
+                });
         this.services = {
             clock,
             client,
@@ -138,7 +141,7 @@
         this.availabilityTimer = setInterval(
             () => this.options.faults.run("availability-timer", {}, () => {
                 this.updateAvailability();
-                this.unqueuedCalls.check();
+                this.unqueuedCalls?.check();
             }),
             availabilityCheckIntervalMs,
         );
@@ -152,7 +155,7 @@
     /** Number of running and queued calls, plus responses not fully sent yet. */
     get inProgress(): number {
         const { runningCalls, queuedCalls } = this.options.queue;
-        return runningCalls + queuedCalls + this.unqueuedCalls.size + this.responsesInFlight;
+        return runningCalls + queuedCalls + (this.unqueuedCalls?.size ?? 0) + this.responsesInFlight;
     }
 
     /** Number of calls sent to the target since the start. */
@@ -249,7 +252,7 @@
             this.options.queue.limit.adopt(offer.targetCallsPerSecond);
             this.limitLog.recordLimit("peer", this.callsSent);
         }
-        this.unqueuedCalls.check();
+        this.unqueuedCalls?.check();
         const now = this.options.clock.now();
         const key = `${offer.callId} ${++this.offerCount}`;
         const deadlineAt = now + offer.deadlineMs;
@@ -347,7 +350,7 @@
         const startedAt = this.options.clock.now();
         const targetStartedAt = announced?.startedAt ?? 0;
         const call = new TargetCall({ incoming, body, deadlineAt, targetStartedAt }, this.services);
-        this.unqueuedCalls.add(key, call);
+        this.unqueuedCalls?.add(key, call);
         incoming.observe({
             onBody: () => undefined,
             onWithdrawn: () => call.handleWithdrawal(),
@@ -374,15 +377,15 @@
 
     private handleFinished(key: string, result: RunResult): void {
         const { queue } = this.options;
-        if (!this.unqueuedCalls.handleFinished(key, result)) {
+        if (this.unqueuedCalls?.handleFinished(key, result) !== true) {
             this.applyQueueEvents(queue.finish(key, result));
-            this.unqueuedCalls.check();
+            this.unqueuedCalls?.check();
         }
     }
 
     private removeCall(key: string, callId: string): void {
         this.running.delete(callId);
-        this.unqueuedCalls.remove(key);
+        this.unqueuedCalls?.remove(key);
     }
 
     private handleWithdrawal(key: string): void {
