Send the messages of calls as lists without field names

Ruled out: control traffic (0.4 MB of states, contents and reports crossed zones). Change: JSON lists in a fixed order, flags in one number, common header names by position, times to a tenth of a millisecond. The same validation follows. Nodes of the former format are not understood, as with a new frame kind.

--- a/protocol/forwarding/src/frames.ts
+++ b/protocol/forwarding/src/frames.ts
@@ -6,7 +6,7 @@
  */
 
 export enum FrameKind {
-    /** Caller's node: offers a call. Payload: `OfferMessage`. */
+    /** Caller's node: offers a call. Payload: the output of `encodeOffer`. */
     Offer = 1,
     /** Target's node: the offer is queued. */
     Queued = 2,
@@ -16,11 +16,11 @@
     Body = 4,
     /** Caller's node: the offer is withdrawn, or the call is cancelled. */
     Withdrawn = 5,
-    /** Target's node: the call did not run. Payload: `Refusal`. */
+    /** Target's node: the call did not run. Payload: the output of `encodeRefusal`. */
     Refused = 6,
-    /** Target's node: the call may have run, but there is no usable response. Payload: `Loss`. */
+    /** Target's node: the call may have run, but there is no usable response. Payload: the output of `encodeLoss`. */
     Lost = 7,
-    /** Target's node: the response head. Payload: `ResponseHead`. */
+    /** Target's node: the response head. Payload: the output of `encodeResponseHead`. */
     ResponseHead = 8,
     /** Target's node: a part of the response body. */
     ResponseData = 9,
@@ -28,7 +28,7 @@
     ResponseEnd = 10,
     /** Caller's node: requests a report without making a call. */
     ReportRequest = 11,
-    /** Target's node: the reply to `ReportRequest`. Payload: `NodeReport`. */
+    /** Target's node: the reply to `ReportRequest`. Payload: the output of `encodeNodeReport`. */
     Report = 12,
     /** Subscribes to the state of the receiving node: the current one and each change. */
     Follow = 13,
--- a/protocol/forwarding/src/index.ts
+++ b/protocol/forwarding/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./allowanceMessages";
 export * from "./frames";
+export { encodeLoss, encodeNodeReport, encodeOffer, encodeRefusal, encodeResponseHead } from "./compactMessages";
 export * from "./messages";
 export * from "./relayMessages";
 export * from "./rolloutPlan";
--- a/protocol/forwarding/src/messages.ts
+++ b/protocol/forwarding/src/messages.ts
@@ -8,6 +8,7 @@
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import { isNumber, isRecord, isText, parseJson, type UncheckedFields } from "@bilberrycroft/core.json";
 import { CallReason, describeInvalidHeader, isHeaderName } from "@bilberrycroft/protocol.calls";
+import { readLoss, readOffer, readRefusal, readReport, readResponseHead } from "./compactMessages";
 import { parseTargetLoad, type TargetLoad } from "./targetLoad";
 import { parseVersionCounts, type VersionCounts } from "./versionCounts";
 
@@ -101,7 +102,7 @@
 
 /** Parses an offer; `undefined` if a required field is missing or has the wrong type. */
 export function parseOfferMessage(payload: Buffer): OfferMessage | undefined {
-    const fields = parseFields(payload);
+    const fields = parseList(payload, readOffer);
     const offer = parseOffer(fields?.offer);
     const state = parseStateVersions(fields?.state);
     const headers = parseHeaders(fields?.headers);
@@ -114,7 +115,7 @@
 }
 
 export function parseRefusal(payload: Buffer): Refusal | undefined {
-    const fields = parseFields(payload);
+    const fields = parseList(payload, readRefusal);
     const report = parseReport(fields?.report);
     const reason = parseReason(fields?.reason);
     return report === undefined || reason === undefined || !isNumber(fields?.retryAfterMs)
@@ -123,14 +124,14 @@
 }
 
 export function parseLoss(payload: Buffer): Loss | undefined {
-    const fields = parseFields(payload);
+    const fields = parseList(payload, readLoss);
     const report = parseReport(fields?.report);
     const reason = parseReason(fields?.reason);
     return report === undefined || reason === undefined ? undefined : { reason, report };
 }
 
 export function parseResponseHead(payload: Buffer): ResponseHead | undefined {
-    const fields = parseFields(payload);
+    const fields = parseList(payload, readResponseHead);
     const report = parseReport(fields?.report);
     const headers = parseHeaders(fields?.headers);
     const status = fields?.status;
@@ -145,7 +146,13 @@
 
 /** Parses the payload of a report frame. */
 export function parseNodeReport(payload: Buffer): NodeReport | undefined {
-    return parseReport(parseFields(payload));
+    return parseReport(parseList(payload, readReport));
+}
+
+/** Parses a payload in compact form into unchecked fields; `undefined` if it is not a JSON list. */
+function parseList<Fields>(payload: Buffer, read: (list: readonly unknown[]) => Fields): Fields | undefined {
+    const list = parseJson(payload.toString("utf8"));
+    return Array.isArray(list) ? read(list) : undefined;
 }
 
 /** Parses a payload into unchecked fields; `undefined` if it is not a JSON object. */
--- a/transport/forwarding/src/offerListener.ts
+++ b/transport/forwarding/src/offerListener.ts
@@ -9,7 +9,11 @@
     type ResponseHead,
     type ContentRequest,
     encodeFrame,
+    encodeLoss,
     encodeMessage,
+    encodeNodeReport,
+    encodeRefusal,
+    encodeResponseHead,
     type Frame,
     FrameKind,
     type Loss,
@@ -153,7 +157,7 @@
                 return offer?.handleWithdrawal();
             }
             case FrameKind.ReportRequest:
-                this.connection.send(encodeMessage(FrameKind.Report, id, this.options.createReport()));
+                this.connection.send(encodeFrame(FrameKind.Report, id, encodeNodeReport(this.options.createReport())));
                 return;
             case FrameKind.AllowanceRequest: {
                 const request = parseAllowanceRequest(payload);
@@ -261,15 +265,15 @@
     }
 
     refuse(refusal: Refusal): void {
-        this.finish(encodeMessage(FrameKind.Refused, this.id, refusal));
+        this.finish(encodeFrame(FrameKind.Refused, this.id, encodeRefusal(refusal)));
     }
 
     reportLoss(loss: Loss): void {
-        this.finish(encodeMessage(FrameKind.Lost, this.id, loss));
+        this.finish(encodeFrame(FrameKind.Lost, this.id, encodeLoss(loss)));
     }
 
     startResponse(head: ResponseHead): void {
-        this.send(encodeMessage(FrameKind.ResponseHead, this.id, head));
+        this.send(encodeFrame(FrameKind.ResponseHead, this.id, encodeResponseHead(head)));
     }
 
     write(data: Buffer): boolean {
--- a/transport/forwarding/src/peerClient.ts
+++ b/transport/forwarding/src/peerClient.ts
@@ -10,6 +10,7 @@
     type ResponseHead,
     encodeFrame,
     encodeMessage,
+    encodeOffer,
     type Frame,
     FrameKind,
     type Loss,
@@ -168,7 +169,7 @@
         const id = ++this.lastOfferId;
         const receivedBefore = this.framesReceived;
         this.observers.set(id, observer);
-        this.connection.send(encodeMessage(FrameKind.Offer, id, message));
+        this.connection.send(encodeFrame(FrameKind.Offer, id, encodeOffer(message)));
         return {
             sendBody: parts => this.connection.sendParts(FrameKind.Body, id, parts),
             withdraw: () => {
--- a/transport/forwarding/test/offerListener.test.ts
+++ b/transport/forwarding/test/offerListener.test.ts
@@ -3,7 +3,7 @@
 import { CallReason } from "@bilberrycroft/protocol.calls";
 import {
     encodeFrame,
-    encodeMessage,
+    encodeOffer,
     FrameKind,
     type NodeReport,
     type OfferMessage,
@@ -110,7 +110,7 @@
 
     const receiveOffers = async (count: number): Promise<void> => {
         for (let id = 1; id <= count; id++) {
-            socket.write(encodeMessage(FrameKind.Offer, id, message));
+            socket.write(encodeFrame(FrameKind.Offer, id, encodeOffer(message)));
         }
         await expect.poll(() => offers.length).toBe(count);
     };
