Refuse calls that will be late while several organisations compete for a target

Change: the rule of learned capacity also holds while calls of several organisations arrive. The time since which calls have been queued is set when the queue stops being empty; before, an old time could remain and refuse too early.

--- a/coordination/forwarding/src/targetQueue.ts
+++ b/coordination/forwarding/src/targetQueue.ts
@@ -32,8 +32,8 @@
     /** Time until all responses that are queued for this host's link are sent. */
     linkBacklogMs(): Milliseconds;
     /**
-     * Whether to learn how many calls the target handles well, and to refuse calls early by what was learned. The
-     * announced slots alone decide by default.
+     * Whether to learn how many calls the target handles well, and to refuse calls early by what was learned. By
+     * default the announced slots alone decide, and calls are refused early only while organisations compete.
      */
     readonly learnsCapacity?: boolean | undefined;
     /** Whether a target may leave calls that it cannot queue without a response; off by default. */
@@ -95,8 +95,8 @@
     private slots = 0;
     private availability = TargetAvailability.Down;
     private failureShare = 0;
-    /** Time since which the queue has not been empty. */
-    private crowdedSince: Milliseconds | undefined;
+    /** Time since which the queue has not been empty; of no meaning while it is. */
+    private queuingSince: Milliseconds = 0;
     /** `undefined` unless unqueued calls are recognized. */
     private readonly unanswered: UnansweredCalls | undefined;
     private readonly accepted: AcceptedCalls;
@@ -167,6 +167,9 @@
             return this.refuse(call, CallReason.Overloaded);
         }
         const refuseAt = this.latestEndAt(call, now) - this.expectedRunMs(call) - call.transferMs;
+        if (this.queue.length === 0) {
+            this.queuingSince = now;
+        }
         this.queue.push({ call, refuseAt, arrival });
         return { kind: OfferDecisionKind.Queued, callId: call.callId, expectedWaitMs, evicted };
     }
@@ -303,12 +306,8 @@
      * of one that would meet it.
      */
     private isCrowded(now: Milliseconds): boolean {
-        if (this.options.learnsCapacity !== true || this.queue.length === 0) {
-            this.crowdedSince = undefined;
-            return false;
-        }
-        this.crowdedSince ??= now;
-        return now - this.crowdedSince >= crowdedAfterMs && this.queue.length > 1;
+        const refusesEarly = this.options.learnsCapacity === true || this.fairShare.isShared;
+        return refusesEarly && this.queue.length > 1 && now - this.queuingSince >= crowdedAfterMs;
     }
 
     /** Whether running calls are checked for ones that the target has never queued. */
