Add a command that explains where a call would go now

Operators could see why a request failed, from the logs, but not where one would go. The command asks one node; the answer comes from the same cost function that chooses targets, so that both cannot differ. Tests: the explained choice equals the choice of 50 calls; refusals, missing routes and organisations; the command against malformed and missing answers.

--- a/bench/src/demo.ts
+++ b/bench/src/demo.ts
@@ -190,6 +190,7 @@
             signal: new AbortController().signal,
             connectStore: address => new HttpStore({ address }),
             connectNode: address => connectNodeOverControl(this.control, address),
+            fetchJson: () => Promise.reject(new Error("no operators' listener")),
             readText: file => this.files.get(file) ?? "",
             createChangeId: createId,
             sleep,
--- a/cli/operator/src/commandLine.ts
+++ b/cli/operator/src/commandLine.ts
@@ -6,6 +6,7 @@
 import { SettingsOutcomeKind } from "@bilberrycroft/core.settings";
 import type { Store } from "@bilberrycroft/protocol.store";
 import { applyRules, type OperatorContext } from "./applying";
+import { explainCall, type OperatorFetch } from "./callExplanations";
 import {
     checkFile,
     diffFile,
@@ -36,6 +37,8 @@
     connectStore(address: string): Store;
     /** Throws a `UsageError` if the address is invalid. */
     connectNode(address: string): NodeClient;
+    /** Gets JSON from the operators' listener of a node. */
+    fetchJson: OperatorFetch;
     /** Reads a UTF-8 file. Throws if the file cannot be read or is not UTF-8. */
     readText(file: string): string;
     createChangeId(): string;
@@ -115,6 +118,17 @@
             String(id),
             files.map(file => readTextFile(environment, String(file))),
         )));
+    cli.command("explain-call <host> <path>", "Show where a call would go now and why, without sending it")
+        .option("--metrics <address>", "Metrics address of the node that would receive the call")
+        .option("--organisation <name>", "Organisation of the call")
+        .action((host: string, path: string, options: Options) => {
+            const node = toOptionalText(options.metrics);
+            if (node === undefined) {
+                throw new UsageError("no node given; use --metrics with its metrics address");
+            }
+            const organisation = toOptionalText(options.organisation);
+            return explainCall({ node, host: String(host), path: String(path), organisation }, environment.fetchJson);
+        });
     cli.help();
     return cli;
 }
--- a/cli/operator/src/main.ts
+++ b/cli/operator/src/main.ts
@@ -3,7 +3,7 @@
 import { readFileSync } from "node:fs";
 import { setTimeout as sleep } from "node:timers/promises";
 import { SystemClock } from "@bilberrycroft/core.clock";
-import { ControlClient } from "@bilberrycroft/transport.control";
+import { ControlClient, createNodeFetch } from "@bilberrycroft/transport.control";
 import { HttpStore } from "@bilberrycroft/transport.store";
 import { runCommandLine } from "./commandLine";
 import { connectNodeOverControl } from "./transportClient";
@@ -25,12 +25,22 @@
 }
 
 const control = new ControlClient();
+const operatorFetch = createNodeFetch({
+    timeoutMs: 5_000,
+    maxResponseBytes: 4_000_000,
+    maxConnectionsPerPeer: 1,
+    idleConnectionMs: 1_000,
+});
 
 process.exitCode = await runCommandLine(process.argv.slice(2), {
     clock: new SystemClock(),
     signal: interrupt.signal,
     connectStore: address => new HttpStore({ address }),
     connectNode: address => connectNodeOverControl(control, address),
+    fetchJson: async url => {
+        const response = await operatorFetch.fetch(url);
+        return await response.json();
+    },
     readText,
     createChangeId: randomUUID,
     sleep: async duration => {
--- a/cli/operator/test/commandLine.test.ts
+++ b/cli/operator/test/commandLine.test.ts
@@ -21,6 +21,9 @@
 let interrupt: AbortController;
 let output: string;
 let errors: string;
+let fetched: string;
+/** What the operators' listener of a node responds; `undefined` if it cannot be reached. */
+let operatorResponse: unknown;
 
 async function run(...argv: readonly string[]): Promise<ExitCode> {
     output = "";
@@ -31,6 +34,10 @@
         signal: interrupt.signal,
         connectStore: () => store,
         connectNode: () => node,
+        fetchJson: url => {
+            fetched = url;
+            return operatorResponse === undefined ? Promise.reject(new Error("refused")) : Promise.resolve(operatorResponse);
+        },
         readText: file => files[file] ?? (() => {
             throw new Error("no such file");
         })(),
@@ -50,6 +57,53 @@
     store = new FakeStore();
     node = fakeNode("a:1", unreachable("a:1"));
     interrupt = new AbortController();
+    operatorResponse = undefined;
+});
+
+describe("the explanation of a call", () => {
+    const costs = { linkMs: 2, waitMs: 30, runMs: 50, failureMs: 0, zoneMs: 8 };
+    const target = { node: "n1", target: "t1", zone: "z1", standing: "considered", costMs: 90, costs, occupancy: 5, slots: 4 };
+    const routed = {
+        kind: "routed",
+        version: 3,
+        route: "r",
+        priority: 1,
+        latencyObjectiveMs: 400,
+        timeoutMs: 1_000,
+        repeatable: false,
+        needsKey: true,
+        services: [{ service: "s", share: 1, chosen: "n1", targets: [target] }],
+    };
+
+    it("is asked of one node, and shows the route, the choice and the costs of each target", async () => {
+        operatorResponse = routed;
+        expect(await run("explain-call", "shop.example", "/a b", "--metrics", "10.0.0.1:9")).toBe(ExitCode.Done);
+        expect(fetched).toBe("http://10.0.0.1:9/explain-call?host=shop.example&path=%2Fa+b");
+        expect(output).toContain("route r of version 3: priority 1, objective 400 ms, timeout 1000 ms, not repeated");
+        expect(output).toContain("gets 401");
+        expect(output).toContain("service s, 100 % of the calls: goes to n1");
+        expect(output).toContain("90 ms  n1 (t1, z1), considered: link 2, wait 30, run 50, failures 0, zone 8");
+        expect(await run("explain-call", "shop.example", "/a", "--metrics", "10.0.0.1:9", "--json")).toBe(ExitCode.Done);
+        expect(JSON.parse(output)).toEqual(routed);
+    });
+
+    it("says if the call would be refused, and when it may return", async () => {
+        operatorResponse = { ...routed, services: [{ service: "s", share: 1, retryAfterMs: 250, targets: [] }] };
+        await run("explain-call", "shop.example", "/a", "--metrics", "n:1", "--organisation", "acme");
+        expect(fetched).toContain("&organisation=acme");
+        expect(output).toContain("refused, to return after 250 ms");
+        expect(output).not.toContain("401");
+    });
+
+    it.each([
+        ["an unreachable node", undefined, ["--metrics", "n:1"], ExitCode.Refused],
+        ["a response that cannot be read", { kind: "routed" }, ["--metrics", "n:1"], ExitCode.Refused],
+        ["no route", { kind: "no-route", version: 3 }, ["--metrics", "n:1"], ExitCode.Refused],
+        ["no node", routed, [], ExitCode.Usage],
+    ])("fails with %s", async (_case, response, options, expected) => {
+        operatorResponse = response;
+        expect(await run("explain-call", "shop.example", "/a", ...options)).toBe(expected);
+    });
 });
 
 describe("exit codes", () => {
--- a/coordination/forwarding/src/peerRecord.ts
+++ b/coordination/forwarding/src/peerRecord.ts
@@ -193,6 +193,11 @@
         return this.localCallIds.size + otherCalls * Math.exp(-(now - at) / loadDecayMs);
     }
 
+    /** Age of the last load report; `undefined` if there is none. */
+    reportAgeMs(now: Milliseconds): Milliseconds | undefined {
+        return this.latestLoad === undefined ? undefined : now - this.latestLoad.at;
+    }
+
     /** Whether the target's node has reported its load. */
     get hasReport(): boolean {
         return this.latestLoad !== undefined;
--- a/coordination/forwarding/src/targetDirectory.ts
+++ b/coordination/forwarding/src/targetDirectory.ts
@@ -12,9 +12,13 @@
 import {
     type NodeEntry,
     type RolloutPlan,
+    type ServiceExplanation,
+    type TargetCosts,
+    type TargetExplanation,
     type TargetIncarnation,
     type TargetLoad,
     TargetPhase,
+    TargetStanding,
 } from "@bilberrycroft/protocol.forwarding";
 import type { Route } from "@bilberrycroft/state.routes";
 import { evictOldestIfFull } from "./boundedMap";
@@ -66,11 +70,18 @@
 interface CostBasis {
     /** Run time of the route over the targets. */
     readonly typicalMs: Milliseconds;
-    /** Calls of other nodes that a target without a report is expected to have. */
-    readonly unreported: number;
+    /** Load by slots of other nodes that a target without a report is expected to have. */
+    readonly unreportedLoad: number;
     readonly now: Milliseconds;
 }
 
+/** What the cost of a target consists of, for an explanation. */
+interface CostDetail {
+    costs: TargetCosts;
+    occupancy: number;
+    slots: number;
+}
+
 /** Run time estimate for a route before any of its calls has ended. */
 const initialRunTimeMs: Milliseconds = 50;
 /** Calls in a target that has just started take about twice as long. */
@@ -271,6 +282,46 @@
         this.records.get(node)?.recordGrant(priority, organisation);
     }
 
+    /** Explains the choice of a target without making it; only the random part of the costs is left out. */
+    explain(request: CandidateRequest): Omit<ServiceExplanation, "share"> {
+        const now = this.options.clock.now();
+        const { service, priority, organisation } = request;
+        const candidates = this.selectCandidates(request);
+        const basis = this.createCostBasis(candidates, request, now);
+        const targets = (this.byService.get(service) ?? []).map(record => {
+            const isOverloaded = priority !== undefined
+                && record.overloadDelayMs({ priority, organisation }, now) !== undefined;
+            const standing = this.standingOf(record, candidates.includes(record), isOverloaded);
+            return this.explainTarget(record, request, { standing, basis });
+        }).sort((left, right) => compareExplanations(left, right));
+        const [first] = targets;
+        const chosen = first?.standing === TargetStanding.Considered ? first.node : undefined;
+        const retryAfterMs = priority === undefined ? undefined : this.overloadDelayMs({ ...request, priority });
+        return { service, chosen, retryAfterMs, targets };
+    }
+
+    private standingOf(record: PeerRecord, isCandidate: boolean, isOverloaded: boolean): TargetStanding {
+        if (!this.acceptsCalls(record.entry)) {
+            return TargetStanding.NotAccepting;
+        }
+        if (isCandidate) {
+            return isOverloaded ? TargetStanding.Overloaded : TargetStanding.Considered;
+        }
+        return record.isHealthy ? TargetStanding.NotSelected : TargetStanding.Unhealthy;
+    }
+
+    private explainTarget(
+        record: PeerRecord,
+        request: CandidateRequest,
+        { standing, basis }: { readonly standing: TargetStanding; readonly basis: CostBasis },
+    ): TargetExplanation {
+        const costs = { linkMs: 0, waitMs: 0, runMs: 0, failureMs: 0, zoneMs: 0 };
+        const detail: CostDetail = { costs, occupancy: 0, slots: 0 };
+        const costMs = this.costMs(record, request, basis, detail);
+        const { node, zone, target } = record.entry;
+        return { node, target: target?.id ?? "", zone, standing, costMs, ...detail, reportAgeMs: record.reportAgeMs(basis.now) };
+    }
+
     private selectCandidates({ service, side, exclude }: CandidateRequest): PeerRecord[] {
         const ofService = this.byService.get(service) ?? [];
         const targets = this.versions?.select({
@@ -287,15 +338,12 @@
     }
 
     private findCheapest(records: readonly PeerRecord[], request: CandidateRequest): TargetCandidate | undefined {
-        const now = this.options.clock.now();
-        const typicalMs = typicalRunTimeMs(records, request.route.name);
-        const unreportedLoad = Math.min(1, unreportedLoadShare * this.meanLoad(records, now));
+        const basis = this.createCostBasis(records, request, this.options.clock.now());
         let cheapest: PeerRecord | undefined;
         let lowestCostMs = Number.POSITIVE_INFINITY;
         for (const record of records) {
             const jitter = 1 + jitterShare * this.options.random.nextFraction();
-            const unreported = this.expectedUnreported(record, unreportedLoad);
-            const costMs = this.costMs(record, request, { typicalMs, unreported, now }) * jitter;
+            const costMs = this.costMs(record, request, basis) * jitter;
             if (costMs < lowestCostMs) {
                 cheapest = record;
                 lowestCostMs = costMs;
@@ -308,6 +356,14 @@
         return { node, address, zone, target: target?.id ?? "", costMs: lowestCostMs };
     }
 
+    private createCostBasis(records: readonly PeerRecord[], { route }: CandidateRequest, now: Milliseconds): CostBasis {
+        return {
+            typicalMs: typicalRunTimeMs(records, route.name),
+            unreportedLoad: Math.min(1, unreportedLoadShare * this.meanLoad(records, now)),
+            now,
+        };
+    }
+
     /** Until its first report, one call of this node at a time is enough to learn the load of a target. */
     private expectedUnreported(record: PeerRecord, load: number): number {
         const slots = record.entry.target?.slots ?? 1;
@@ -327,14 +383,19 @@
             sum + record.occupancy(now) / Math.max(1, record.entry.target?.slots ?? 1), 0) / reported.length;
     }
 
-    private costMs(record: PeerRecord, request: CandidateRequest, basis: CostBasis): Milliseconds {
-        const { typicalMs, unreported, now } = basis;
+    /** Expected cost of a target; `detail` receives what it consists of. */
+    private costMs(
+        record: PeerRecord,
+        request: CandidateRequest,
+        { typicalMs, unreportedLoad, now }: CostBasis,
+        detail?: CostDetail,
+    ): Milliseconds {
         const { latencyObjectiveMs } = request.route;
         const { target } = record.entry;
         const meanRunTimeMs = record.meanRunTimeMs ?? typicalMs;
         const learnedSlots = record.usableSlots(Math.max(1, target?.slots ?? 1), now);
         const slots = usableSlots(learnedSlots, meanRunTimeMs, record.recentCallsPerSecond(now));
-        const occupancy = record.occupancy(now) + unreported;
+        const occupancy = record.occupancy(now) + this.expectedUnreported(record, unreportedLoad);
         const fullness = Math.min(1, occupancy / slots);
         const waitMs = Math.max(0, occupancy + 1 - slots) * meanRunTimeMs / slots;
         const runTimeFactor = this.isCold(target?.coldUntil ?? 0) ? coldFactor : 1;
@@ -342,7 +403,13 @@
             * (1 + fullTargetSlowdown * fullness);
         const failureMs = record.failureShare(now) * failureCostShare * latencyObjectiveMs;
         const linkMs = record.responseTimes.typicalMs + record.sendMs(request.route.name, now);
-        return linkMs + waitMs + runMs + failureMs + this.zoneCostMs(record.entry.zone, request);
+        const zoneMs = this.zoneCostMs(record.entry.zone, request);
+        if (detail !== undefined) {
+            detail.costs = { linkMs, waitMs, runMs, failureMs, zoneMs };
+            detail.occupancy = occupancy;
+            detail.slots = slots;
+        }
+        return linkMs + waitMs + runMs + failureMs + zoneMs;
     }
 
     private zoneCostMs(zone: string, { route, responseBytes }: CandidateRequest): Milliseconds {
@@ -386,6 +453,12 @@
     return `${startedAt} ${id}`;
 }
 
+/** Considered targets first, each group in order of cost. */
+function compareExplanations(left: TargetExplanation, right: TargetExplanation): number {
+    const [leftRank, rightRank] = [left, right].map(({ standing }) => standing === TargetStanding.Considered ? 0 : 1);
+    return leftRank === rightRank ? left.costMs - right.costMs : (leftRank ?? 0) - (rightRank ?? 0);
+}
+
 /** Number of slots, possibly fractional, that a target with a limit of its calls can keep busy. */
 function usableSlots(slots: number, meanRunTimeMs: Milliseconds, callsPerSecond: number | undefined): number {
     return callsPerSecond === undefined
--- a/coordination/forwarding/test/targetDirectory.test.ts
+++ b/coordination/forwarding/test/targetDirectory.test.ts
@@ -7,6 +7,7 @@
     TargetLimitKind,
     type TargetLoad,
     TargetPhase,
+    TargetStanding,
 } from "@bilberrycroft/protocol.forwarding";
 import { beforeEach, describe, expect, it } from "vitest";
 import { repeatableRoute as route } from "./fixtures";
@@ -70,6 +71,43 @@
         });
     });
 
+    describe("an explanation", () => {
+        const request: CandidateRequest = { service: "s", route, priority: 1, exclude: new Set(), responseBytes: 1_000 };
+        const standings = (): Record<string, TargetStanding> =>
+            Object.fromEntries(directory.explain(request).targets.map(({ node, standing }) => [node, standing]));
+
+        // Guards against an explanation that differs from the choice that calls get.
+        it("names the target that calls are sent to, and the costs that it consists of", () => {
+            directory.recordLoad("a", createLoad({ running: 4, queued: 8 }), "r");
+            directory.recordLoad("b", createLoad({ running: 1 }), "r");
+            clock.advance(20);
+            const { chosen, retryAfterMs, targets } = directory.explain(request);
+            expect([chosen, retryAfterMs]).toEqual(["b", undefined]);
+            expect(chooseMany({ priority: 1 })).toEqual(new Set([chosen]));
+            const ofA = targets.find(({ node }) => node === "a");
+            expect(ofA).toMatchObject({ target: "t-a", zone: "local", slots: 4, reportAgeMs: 20 });
+            expect(ofA?.costs.waitMs).toBeGreaterThan(50);
+            for (const { costMs, costs: { linkMs, waitMs, runMs, failureMs, zoneMs } } of targets) {
+                expect(costMs).toBeCloseTo(linkMs + waitMs + runMs + failureMs + zoneMs);
+            }
+            expect(targets.find(({ node }) => node === "c")?.costs.zoneMs).toBeGreaterThan(0);
+        });
+
+        it("says why a target gets no call, and when a call may return that none is asked for", () => {
+            directory.setEntries([...entries, createEntry("d", "local", TargetPhase.Draining)]);
+            directory.markUnhealthy("c");
+            directory.recordRefusal("a", { priority: 1, retryAfterMs: 400 });
+            expect(standings()).toEqual({
+                a: TargetStanding.Overloaded,
+                b: TargetStanding.Considered,
+                c: TargetStanding.Unhealthy,
+                d: TargetStanding.NotAccepting,
+            });
+            directory.recordRefusal("b", { priority: 1, retryAfterMs: 300 });
+            expect(directory.explain(request)).toMatchObject({ chosen: undefined, retryAfterMs: 300 });
+        });
+    });
+
     describe("limits of targets", () => {
         const limited = (callsPerSecond: number): Partial<TargetLoad> =>
             ({ limit: { kind: TargetLimitKind.Limited, callsPerSecond } });
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -11,7 +11,7 @@
 import { type Clock, type Milliseconds, SystemClock } from "@bilberrycroft/core.clock";
 import { type EventLog, FaultBarrier } from "@bilberrycroft/core.eventLog";
 import { createSeededRandom, type Random } from "@bilberrycroft/core.random";
-import type { AnnouncedCrash, StateVersions } from "@bilberrycroft/protocol.forwarding";
+import type { AnnouncedCrash, CallExplanation, StateVersions } from "@bilberrycroft/protocol.forwarding";
 import {
     limitConnections,
     type Listener,
@@ -27,6 +27,7 @@
     ResponsePacer,
     startOfferListener,
 } from "@bilberrycroft/transport.forwarding";
+import type { CallQuestion } from "./callExplanation";
 import { ClientLimitCounts, type ClientLoad } from "./clientLimitCounts";
 import { Collections } from "./collections";
 import { createDecisions, type Decisions } from "./decisions";
@@ -238,6 +239,11 @@
         }));
     }
 
+    /** Explains where a call that arrives here would be sent now, without sending it. */
+    explainCall(question: CallQuestion): CallExplanation {
+        return this.callerTask.explain(question);
+    }
+
     /** Stops gracefully; resolves when no call is in progress or the grace period has ended. */
     stop(): Promise<void> {
         this.stopping ??= this.stopGracefully();
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -18,11 +18,12 @@
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import type { Random } from "@bilberrycroft/core.random";
 import { CallOutcome, CallReason } from "@bilberrycroft/protocol.calls";
-import type { Offer } from "@bilberrycroft/protocol.forwarding";
+import type { CallExplanation, Offer } from "@bilberrycroft/protocol.forwarding";
 import { authenticate, type Authentication, AuthenticationKind, type Route, type RouteTable } from "@bilberrycroft/state.routes";
 import { BodyOutcomeKind, type BodyPartsOutcome, discardRequestBody, readBodyParts } from "@bilberrycroft/transport.calls";
 import { copyHeaders } from "@bilberrycroft/transport.forwarding";
 import { CallerCall } from "../calls/callerCall";
+import { type CallQuestion, explainCall } from "../callExplanation";
 import type { AcceptedCall, CallEnd, CallerServices } from "../calls/callerCallTypes";
 import { bodyTooLargeStatus, limitRetryAfter, sendLocalResponse } from "../calls/localResponses";
 import type { CallMetrics } from "../metrics";
@@ -122,6 +123,13 @@
         sendLocalResponse(response, codec, { callId, reason, retryAfterMs: retryAfterMsByReason[reason] });
     }
 
+    /** Explains where a call would be sent now. */
+    explain(question: CallQuestion): CallExplanation {
+        const { responseSizes, options: { directory } } = this;
+        const meanBytes = (route: string): number => responseSizes.meanBytes(route);
+        return explainCall(question, { table: this.table, directory, meanBytes });
+    }
+
     private async handleCall(
         request: IncomingMessage,
         response: ServerResponse,
--- a/protocol/forwarding/src/index.ts
+++ b/protocol/forwarding/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./allowanceMessages";
+export * from "./callExplanation";
 export * from "./frames";
 export { encodeLoss, encodeNodeReport, encodeOffer, encodeRefusal, encodeResponseHead } from "./compactMessages";
 export * from "./messages";
