--- a/coordination/forwarding/src/fairShare.ts
+++ b/coordination/forwarding/src/fairShare.ts
@@ -73,11 +73,6 @@
         this.recordDemand(organisation);
     }
 
-    /** Whether calls of several organisations have arrived recently. */
-    get isShared(): boolean {
-        return this.shares.size > 0;
-    }
-
     /** Charges run time to the organisation; a negative time corrects an earlier charge. */
     charge(organisation: OrganisationName, runMs: Milliseconds): void {
         this.refreshOrigin();
--- a/coordination/forwarding/src/targetQueue.ts
+++ b/coordination/forwarding/src/targetQueue.ts
@@ -32,8 +32,8 @@
     /** Time until all responses that are queued for this host's link are sent. */
     linkBacklogMs(): Milliseconds;
     /**
-     * Whether to learn how many calls the target handles well, and to refuse calls early by what was learned. By
-     * default the announced slots alone decide, and calls are refused early only while organisations compete.
+     * Whether to learn how many calls the target handles well, and to refuse calls early by what was learned. The
+     * announced slots alone decide by default.
      */
     readonly learnsCapacity?: boolean | undefined;
     /** Whether a target may leave calls that it cannot queue without a response; off by default. */
@@ -306,8 +306,8 @@
      * of one that would meet it.
      */
     private isCrowded(now: Milliseconds): boolean {
-        const refusesEarly = this.options.learnsCapacity === true || this.fairShare.isShared;
-        return refusesEarly && this.queue.length > 1 && now - this.queuingSince >= crowdedAfterMs;
+        return this.options.learnsCapacity === true && this.queue.length > 1
+            && now - this.queuingSince >= crowdedAfterMs;
     }
 
     /** Whether running calls are checked for ones that the target has never queued. */
