--- a/protocol/forwarding/src/compactMessages.ts
+++ b/protocol/forwarding/src/compactMessages.ts
@@ -1,8 +1,8 @@
 /**
  * Compact form of the messages of a call: JSON lists of values in a fixed order.
  *
- * Field names, long fractions and the names of common headers were most of an offer (585 bytes, now about 250) and of a
- * report. Offers are sent several times for one call under overload, and bytes between zones are slow and expensive.
+ * Field names, long fractions and the names of common headers were most of an offer and of a report. Offers are sent
+ * several times for one call under overload, and bytes between zones are slow and expensive.
  *
  * The functions for reading return unchecked fields under the names that the parsers check.
  */
