--- a/review/lib-2/mesh.mjs
+++ b/review/lib-2/mesh.mjs
@@ -69,8 +69,14 @@
 
     async #handle(request, response) {
         const chunks = [];
-        for await (const chunk of request) {
-            chunks.push(chunk);
+        try {
+            for await (const chunk of request) {
+                chunks.push(chunk);
+            }
+        }
+        catch {
+            // The node broke off before the end of the request, so that it does not run.
+            return;
         }
         const id = request.headers["x-attempt-id"];
         if (request.headers["x-target-instance"] !== this.id) {
@@ -145,10 +151,10 @@
 
 /** A host with a node process and the server beside it. */
 export class Host {
-    constructor({ mesh, name, ip, server, settings = [] }) {
+    constructor({ mesh, name, ip, server, zone, settings = [] }) {
         Object.assign(this, { mesh, name, ip, server });
         this.settingsFile = join(mesh.folder, `${name}.conf`);
-        const text = formatSettings({ ip, node: name, service: server.service, zone: "z1", storeAddress: mesh.storeAddress });
+        const text = formatSettings({ ip, node: name, service: server.service, zone, storeAddress: mesh.storeAddress });
         const lines = text.split("\n").filter(line => !line.startsWith("Bounds.BudgetSlack"));
         writeFileSync(this.settingsFile, [...lines, "Bounds.BudgetSlack=56", ...settings].join("\n"));
     }
@@ -261,17 +267,20 @@
     hosts = [];
     store = new StoreStandin();
 
-    /** Starts the store, and a node with its server for each description; resolves when all serve. */
-    async start({ configuration, hosts }) {
+    /**
+     * Starts the store, and a node with its server for each description; resolves when all serve. The nodes reach the
+     * store through what `connectStore` returns for its address.
+     */
+    async start({ configuration, hosts, connectStore = address => address }) {
         this.folder = mkdtempSync(join(tmpdir(), "bilberrycroft-case-"));
-        this.storeAddress = await this.store.start();
+        this.storeAddress = await connectStore(await this.store.start());
         this.store.put("config", "main", configuration);
         const net = `127.${10 + process.pid % 200}.${1 + Math.floor(process.pid / 200) % 250}`;
-        hosts.forEach(({ service, settings, ...server }, index) => {
+        hosts.forEach(({ service, settings, zone = "z1", ...server }, index) => {
             const ip = `${net}.${index + 1}`;
             const name = `node-${index + 1}`;
             const beside = new Server({ id: `i-${name}`, service, ip, ...server });
-            this.hosts.push(new Host({ mesh: this, name, ip, server: beside, settings }));
+            this.hosts.push(new Host({ mesh: this, name, ip, server: beside, zone, settings }));
         });
         for (const host of this.hosts) {
             await host.server.start();
@@ -304,6 +313,14 @@
     const record = new Record(folder);
     const mesh = new Mesh();
     let verdict = Verdict.NotRun;
+    const fail = error => {
+        record.add(`the case could not run: ${error.stack}`);
+        record.save();
+        mesh.hosts.forEach(({ child }) => child?.kill("SIGKILL"));
+        process.exit(Verdict.NotRun);
+    };
+    process.on("uncaughtException", fail);
+    process.on("unhandledRejection", fail);
     try {
         verdict = await play({ record, mesh }) ? Verdict.Held : Verdict.Broken;
     }
