--- a/review/6/case.mjs
+++ b/review/6/play.mjs
@@ -12,7 +12,7 @@
 const paceMs = 10;
 const chunks = Buffer.from("1\r\nn\r\n".repeat(chunksAtOnce));
 const exportsAtOnce = 6;
-const bookers = 8;
+const bookers = 16;
 const playMs = 40_000;
 /** The platform starts a process again after a short delay. */
 const restartMs = 500;
@@ -87,13 +87,13 @@
         configuration: createConfiguration({
             routes: [
                 createRoute("/export/", "idempotent", "exports", { timeoutS: 5.1, objectiveS: 1.254, attempts: 2 }),
-                createRoute("/book/", "non_idempotent", "booking"),
+                createRoute("/book/", "non_idempotent", "booking", { objectiveS: 1 }),
             ],
             services: ["exports", "booking", "forms"],
         }),
         hosts: [
             { service: "forms", settings },
-            { service: "booking", slots: 24, workMs: 150, settings },
+            { service: "booking", slots: 32, workMs: 500, settings },
             { service: "exports", slots: 8, settings, respond: respondWithoutEnd },
             { service: "exports", slots: 8, settings, respond: respondWithoutEnd },
         ],
--- a/review/lib-2/mesh.mjs
+++ b/review/lib-2/mesh.mjs
@@ -321,6 +321,7 @@
     };
     process.on("uncaughtException", fail);
     process.on("unhandledRejection", fail);
+    process.on("SIGTERM", () => fail(new Error("stopped from outside")));
     try {
         verdict = await play({ record, mesh }) ? Verdict.Held : Verdict.Broken;
     }
