--- a/review/lib-2/mesh.mjs
+++ b/review/lib-2/mesh.mjs
@@ -267,13 +267,10 @@
     hosts = [];
     store = new StoreStandin();
 
-    /**
-     * Starts the store, and a node with its server for each description; resolves when all serve. The nodes reach the
-     * store through what `connectStore` returns for its address.
-     */
-    async start({ configuration, hosts, connectStore = address => address }) {
+    /** Starts the store, and a node with its server for each description; resolves when all serve. */
+    async start({ configuration, hosts }) {
         this.folder = mkdtempSync(join(tmpdir(), "bilberrycroft-case-"));
-        this.storeAddress = await connectStore(await this.store.start());
+        this.storeAddress = await this.store.start();
         this.store.put("config", "main", configuration);
         const net = `127.${10 + process.pid % 200}.${1 + Math.floor(process.pid / 200) % 250}`;
         hosts.forEach(({ service, settings, zone = "z1", ...server }, index) => {
