Join small chunks of responses, so that they do not exhaust the heap

Cause: targets sent bodies without end in chunks of one byte. The callers' node kept a buffer for each chunk until the response was complete, and the node beside the target made a frame of each; the budget counted the bytes of the body, some 150 KB a response, while each buffer takes about a hundred bytes of heap.

Ruled out: the budget of bodies (2 % of it was in use).

Change: BodyBuffer, so far used for requests, also holds responses and what a caller has not taken of a stream; PieceCollector joins the pieces of one turn to a frame, and of several turns while the connection takes nothing.

--- a/daemons/sidecar/src/calls/incomingResponse.ts
+++ b/daemons/sidecar/src/calls/incomingResponse.ts
@@ -8,6 +8,7 @@
 import type { BufferAccount, BufferBudget } from "@bilberrycroft/coordination.forwarding";
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import type { ResponseHead, ForwardedHeaders } from "@bilberrycroft/protocol.forwarding";
+import { BodyBuffer } from "@bilberrycroft/transport.calls";
 
 /** Limits of one response, with and without room in the budget of the process. */
 interface BufferLimits {
@@ -26,7 +27,8 @@
 const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
 
 export class IncomingResponse {
-    private readonly chunks: Buffer[] = [];
+    /** Bytes not written to the caller's connection yet. */
+    private readonly buffer = new BodyBuffer({ keepsChunks: true });
     private receivedBytes = 0;
     private isDiscarded = false;
     private callerResponse: ServerResponse | undefined;
@@ -54,19 +56,17 @@
             return true;
         }
         if (this.callerResponse === undefined) {
-            this.chunks.push(data);
-            this.account.set(this.receivedBytes);
+            this.buffer.append(data);
+            this.account.set(this.buffer.capacity);
             return true;
         }
-        this.callerResponse.write(data);
-        this.account.set(this.callerResponse.writableLength);
-        return this.callerResponse.writableLength <= this.limits.maxUnsentBytes;
+        return this.stream(this.callerResponse, data);
     }
 
     /** Gives the bytes of a response that is not delivered back to the budget; later ones are not kept. */
     discard(): void {
         this.isDiscarded = true;
-        this.chunks.length = 0;
+        this.buffer.release();
         this.account.set(0);
     }
 
@@ -79,13 +79,31 @@
         this.callerResponse = response;
         this.countUntilTaken(response);
         response.writeHead(this.head.status, this.head.headers);
-        this.chunks.forEach(chunk => response.write(chunk));
-        this.chunks.length = 0;
+        response.on("drain", () => this.writeBuffered(response));
+        this.writeBuffered(response);
+    }
+
+    /** While the caller does not read, chunks are joined: each write to its connection costs several objects. */
+    private stream(response: ServerResponse, data: Buffer): boolean {
+        if (response.writableNeedDrain) {
+            this.buffer.append(data);
+        }
+        else {
+            response.write(data);
+        }
+        const unsentBytes = response.writableLength + this.buffer.capacity;
+        this.account.set(unsentBytes);
+        return unsentBytes <= this.limits.maxUnsentBytes;
+    }
+
+    private writeBuffered(response: ServerResponse): void {
+        this.buffer.take().forEach(part => response.write(part));
     }
 
     /** Ends a streamed response, or sends a buffered one. */
     deliver(response: ServerResponse, method: string | undefined): void {
         if (this.callerResponse !== undefined) {
+            this.writeBuffered(this.callerResponse);
             this.callerResponse.end();
             return;
         }
@@ -95,16 +113,16 @@
         }
         response.writeHead(this.head.status, headers);
         this.countUntilTaken(response);
-        if (this.chunks.length > 1) {
-            // Joining the chunks would hold the response twice.
+        const parts = this.buffer.take();
+        if (parts.length > 1) {
+            // Joining the parts would hold the response twice.
             response.cork();
-            this.chunks.forEach(chunk => response.write(chunk));
+            parts.forEach(part => response.write(part));
             response.end();
         }
         else {
-            response.end(this.chunks[0]);
+            response.end(parts[0]);
         }
-        this.chunks.length = 0;
     }
 
     /**
--- a/transport/calls/src/index.ts
+++ b/transport/calls/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./addresses";
 export * from "./bodies";
+export * from "./bodyBuffer";
 export * from "./clientConnections";
 export * from "./descriptors";
 export * from "./discarding";
--- a/transport/forwarding/src/offerListener.ts
+++ b/transport/forwarding/src/offerListener.ts
@@ -27,7 +27,8 @@
 } from "@bilberrycroft/protocol.forwarding";
 import type { ResponsePacer, PacedResponse } from "./responsePacer";
 import { FrameConnection, type FrameFaultHandler } from "./frameConnection";
-import { writeInTurn } from "./turnWrites";
+import { PieceCollector } from "./pieceCollector";
+import { observeTurnEnd, type TurnObserver, writeInTurn } from "./turnWrites";
 
 /** Receives the events of an incoming offer. */
 export interface IncomingOfferObserver {
@@ -219,7 +220,9 @@
 /** Unsent bytes of a connection beyond which reading from the target pauses. */
 const maxSocketBytes = 1_048_576;
 
-class ConnectionOffer implements IncomingOffer {
+class ConnectionOffer implements IncomingOffer, TurnObserver {
+    /** Small parts of the response that have not been sent yet. */
+    private readonly pieces = new PieceCollector(pacedPartBytes);
     private pacedBytes = 0;
     private pacedResponse: PacedResponse | undefined;
     private readonly objectiveAt: Milliseconds;
@@ -253,6 +256,7 @@
 
     /** The socket accepts data again. */
     handleDrain(): void {
+        this.sendPiecesIfIdle();
         this.resolveDrainWaitersIfWritable();
     }
 
@@ -277,15 +281,24 @@
     }
 
     write(data: Buffer): boolean {
-        if (data.length <= maxUnpacedBytes && this.pacedBytes === 0) {
-            return this.send(encodeFrame(FrameKind.ResponseData, this.id, data));
+        if (data.length > maxUnpacedBytes) {
+            this.sendPieces();
+            this.enqueue(data);
         }
-        for (let start = 0; start < data.length; start += pacedPartBytes) {
-            this.enqueuePart(data.subarray(start, start + pacedPartBytes));
+        else {
+            if (!this.pieces.hasRoom(data.length)) {
+                this.sendPieces();
+            }
+            this.pieces.add(data);
+            observeTurnEnd(this);
         }
         return this.isWritable();
     }
 
+    handleTurnEnd(): void {
+        this.sendPiecesIfIdle();
+    }
+
     waitForDrain(): Promise<void> {
         return new Promise(resolve => {
             this.drainWaiters.push(resolve);
@@ -294,12 +307,39 @@
     }
 
     async end(): Promise<void> {
+        this.sendPieces();
         while (this.pacedBytes > 0 && !this.isWithdrawn) {
             await new Promise<void>(resolve => this.drainWaiters.push(resolve));
         }
         this.finish(encodeFrame(FrameKind.ResponseEnd, this.id));
     }
 
+    /** Pieces wait for earlier parts of the response and for the socket, so that more of them share a frame. */
+    private sendPiecesIfIdle(): void {
+        if (this.pacedBytes === 0 && !this.socket.writableNeedDrain) {
+            this.sendPieces();
+        }
+    }
+
+    private sendPieces(): void {
+        const joined = this.pieces.take();
+        if (joined === undefined) {
+            return;
+        }
+        if (this.pacedBytes === 0 && joined.length <= maxUnpacedBytes) {
+            this.send(encodeFrame(FrameKind.ResponseData, this.id, joined));
+        }
+        else {
+            this.enqueue(joined);
+        }
+    }
+
+    private enqueue(data: Buffer): void {
+        for (let start = 0; start < data.length; start += pacedPartBytes) {
+            this.enqueuePart(data.subarray(start, start + pacedPartBytes));
+        }
+    }
+
     private enqueuePart(part: Buffer): void {
         this.pacedBytes += part.length;
         this.pacedResponse ??= {
@@ -308,6 +348,7 @@
             send: sent => {
                 this.send(encodeFrame(FrameKind.ResponseData, this.id, sent));
                 this.pacedBytes -= sent.length;
+                observeTurnEnd(this);
                 this.resolveDrainWaitersIfWritable();
             },
         };
@@ -332,11 +373,14 @@
     }
 
     private finish(frame: Buffer): void {
+        this.pieces.clear();
         this.send(frame);
         this.connection.removeOffer(this.id);
     }
 
-    private send(frame: Buffer): boolean {
-        return this.isWithdrawn || this.socket.destroyed || writeInTurn(this.socket, frame);
+    private send(frame: Buffer): void {
+        if (!this.isWithdrawn && !this.socket.destroyed) {
+            writeInTurn(this.socket, frame);
+        }
     }
 }
--- a/transport/forwarding/test/offerListener.test.ts
+++ b/transport/forwarding/test/offerListener.test.ts
@@ -5,6 +5,7 @@
     encodeFrame,
     encodeOffer,
     FrameKind,
+    FrameReader,
     type NodeReport,
     type OfferMessage,
     TargetAvailability,
@@ -18,6 +19,15 @@
 /** More than a node queues for one response. */
 const largeBytes = 3_145_728;
 const host = "127.0.0.1";
+/** Chunks of one byte, as a target may send them. */
+const pieceCount = 20_000;
+/** One frame at the end of each turn would be one for each piece. */
+const turnCount = 500;
+/** More than the system holds for a connection. */
+const unreadBytes = 33_554_432;
+const largeFrameBytes = 16_384;
+/** Pieces are joined to 16 KiB, so that these bytes fit into two frames. */
+const maxJoinedFrames = 4;
 const maxQueuedBytes = 33_554_432;
 const report: NodeReport = {
     load: {
@@ -62,7 +72,7 @@
     });
 }
 
-describe("the connection from a node that does not read", () => {
+describe("connections from nodes", () => {
     let listener: OfferListener;
     let pacer: ResponsePacer;
     let socket: Socket;
@@ -119,7 +129,7 @@
         return offer.write(Buffer.alloc(bytes)) ? Promise.resolve() : offer.waitForDrain();
     };
 
-    it("gets one listener for all responses that wait for it", async () => {
+    it("get one listener for all responses that wait for a node that does not read", async () => {
         await receiveOffers(offerCount);
         const waits = offers.map(offer => startResponse(offer, partBytes));
         socket.resume();
@@ -128,7 +138,7 @@
         expect(warnings).toEqual([]);
     });
 
-    it("ends the waits of the responses that are withdrawn, and of all when it is closed", async () => {
+    it("end the waits of the responses that are withdrawn, and of all when it is closed", async () => {
         await receiveOffers(2);
         const [withdrawn, closed] = offers.map(offer => startResponse(offer, largeBytes));
         socket.write(encodeFrame(FrameKind.Withdrawn, 1));
@@ -137,4 +147,72 @@
         await closed;
         expect(offers.map(({ isWithdrawn }) => isWithdrawn)).toEqual([true, true]);
     });
+
+    // Guards against a node that makes a frame of each byte of a response and runs out of memory.
+    describe("that are sent a response in pieces of one byte", () => {
+        /** Resolves to the sizes of the frames of the body when the response has ended. */
+        const receiveBody = (): Promise<readonly number[]> => new Promise(resolve => {
+            const reader = new FrameReader();
+            const sizes: number[] = [];
+            socket.on("data", chunk => {
+                for (const { kind, payload } of reader.push(chunk) ?? []) {
+                    if (kind === FrameKind.ResponseData) {
+                        sizes.push(payload.length);
+                    }
+                    else if (kind === FrameKind.ResponseEnd) {
+                        resolve(sizes);
+                    }
+                }
+            });
+            socket.resume();
+        });
+
+        it("get few frames for the pieces of one turn", async () => {
+            await receiveOffers(1);
+            const [offer] = offers as [IncomingOffer];
+            const body = receiveBody();
+            offer.startResponse({ status: 200, headers: {}, report });
+            for (let count = 0; count < pieceCount; count++) {
+                offer.write(Buffer.from("n"));
+            }
+            await offer.end();
+            const sizes = await body;
+            expect(sizes.reduce((sum, size) => sum + size, 0)).toBe(pieceCount);
+            expect(sizes.length).toBeLessThanOrEqual(maxJoinedFrames);
+        });
+
+        it("get few frames for the pieces of many turns in which they do not read", async () => {
+            await receiveOffers(1);
+            const [offer] = offers as [IncomingOffer];
+            offer.startResponse({ status: 200, headers: {}, report });
+            offer.write(Buffer.alloc(unreadBytes));
+            for (let turn = 0; turn < turnCount; turn++) {
+                offer.write(Buffer.from("n"));
+                await new Promise(resolve => setImmediate(resolve));
+            }
+            const ended = offer.end();
+            const sizes = await receiveBody();
+            await ended;
+            const bytes = sizes.reduce((sum, size) => sum + size, 0);
+            expect(bytes).toBe(unreadBytes + turnCount);
+            expect(sizes.length).toBeLessThanOrEqual(unreadBytes / largeFrameBytes + maxJoinedFrames);
+        });
+
+        it("get a small piece at the end of its turn, although the response goes on", async () => {
+            await receiveOffers(1);
+            const [offer] = offers as [IncomingOffer];
+            const received = new Promise<Buffer>(resolve => {
+                const reader = new FrameReader();
+                socket.on("data", chunk => (reader.push(chunk) ?? [])
+                    .filter(({ kind }) => kind === FrameKind.ResponseData)
+                    .forEach(({ payload }) => resolve(payload)));
+                socket.resume();
+            });
+            offer.startResponse({ status: 200, headers: {}, report });
+            offer.write(Buffer.from("one"));
+            offer.write(Buffer.from(" two"));
+            expect((await received).toString()).toBe("one two");
+            offer.reportLoss({ reason: CallReason.AnswerLost, report });
+        });
+    });
 });
