Hold a request that crashes one target three times

Cause: the quarantine starts a hold with crashes of two distinct targets. A service with one target that starts again under its identifier never meets the condition.

Ruled out by the logs: the crash was recognized (13 target-crashed) and told to all nodes (crashes-learned 5 ms later), five seconds before the request came again; the reports did not count as one crash, since their calls did not overlap.

Change: the third consecutive crash of one target starts a hold too. Two would also keep the rule, but would hold ordinary requests that are in flight when a target fails twice by itself.

--- a/coordination/quarantine/src/crashHistory.ts
+++ b/coordination/quarantine/src/crashHistory.ts
@@ -11,7 +11,13 @@
 /** Reports expire this long after the newest one. The longest hold and its trial have ended by then. */
 export const reportLifetimeMs: Milliseconds = 2 * maxHoldMs;
 
-// Six consecutive crashes reach the longest hold. The other two are for crashes that are not consecutive.
+/**
+ * Consecutive crashes of one target that start a hold. A target may fail twice by itself while the same frequent call
+ * is in flight; a service with a single target needs a hold all the same.
+ */
+const minCrashesOfOneTarget = 3;
+
+// Seven consecutive crashes reach the longest hold. The other one is for a crash that is not consecutive.
 const maxCrashReports = 8;
 
 /** A crash report with the time at which this node received it. */
@@ -88,10 +94,16 @@
         return this.crashes.length > 0;
     }
 
-    /** Number of consecutive crashes; 0 if they hit fewer than two targets, which does not start a hold. */
-    get consecutiveCrashes(): number {
+    /** Whether the consecutive crashes start a hold. */
+    get isHeld(): boolean {
+        return this.findHoldStart(this.findConsecutiveCrashes()) !== undefined;
+    }
+
+    /** Number of consecutive crashes after the one that started the hold. */
+    get failedTrials(): number {
         const chain = this.findConsecutiveCrashes();
-        return new Set(chain.map(crash => crash.report.target)).size >= 2 ? chain.length : 0;
+        const holdStart = this.findHoldStart(chain);
+        return holdStart === undefined ? 0 : chain.length - 1 - holdStart;
     }
 
     /** Monotonic time at which a hold of this length ends. It starts with the last consecutive crash. */
@@ -105,6 +117,13 @@
         return this.crashes.some(crash => crash.report.node === node);
     }
 
+    /** Index of the consecutive crash that starts the hold. */
+    private findHoldStart(chain: readonly ReceivedCrash[]): number | undefined {
+        const index = chain.findIndex(({ report }, position) =>
+            report.target !== chain[0]?.report.target || position + 1 >= minCrashesOfOneTarget);
+        return index < 0 ? undefined : index;
+    }
+
     /**
      * Consecutive crashes: the call of each one started after the previous crash. Targets that fail together, for
      * example with their rack, count once, because none of their calls was sent again after the first crash.
--- a/coordination/quarantine/src/quarantine.ts
+++ b/coordination/quarantine/src/quarantine.ts
@@ -1,8 +1,8 @@
 /**
  * Decides whether a request may be sent, based on the crashes and completions of calls with the same fingerprint on all
- * nodes. A fingerprint whose calls crash at least two targets consecutively is held: its calls are refused until the
- * hold ends, and then one trial call is sent. A request that crashes its targets never completes. Any other request
- * completes at some point, and the completion report ends its hold on all nodes.
+ * nodes. A fingerprint whose calls crash two targets consecutively, or one target three times, is held: its calls are
+ * refused until the hold ends, and then one trial call is sent. A request that crashes its targets never completes. Any
+ * other request completes at some point, and the completion report ends its hold on all nodes.
  */
 import { createHash } from "node:crypto";
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
@@ -70,7 +70,7 @@
     /** Decides whether a call may be sent now. The caller must send a call for which `Trial` was returned. */
     check(fingerprint: string): QuarantineDecision {
         const history = this.histories.get(fingerprint);
-        if (history === undefined || history.expire(this.clock.wallTime()) || history.consecutiveCrashes === 0) {
+        if (history === undefined || history.expire(this.clock.wallTime()) || !history.isHeld) {
             return allowedDecision;
         }
         const now = this.clock.now();
@@ -180,7 +180,7 @@
      * first: if all nodes started a trial at the same time, a harmful request would crash one target for each.
      */
     private computeHoldEnd(fingerprint: string, history: CrashHistory): Milliseconds {
-        const failedTrials = history.consecutiveCrashes - 2;
+        const { failedTrials } = history;
         const fraction = this.spreadFraction(fingerprint);
         if (failedTrials === 0 && history.hadRecentCompletion) {
             return history.computeHoldEnd(initialHoldAfterCompletionMs) + fraction * trialSpreadAfterCompletionMs;
--- a/coordination/quarantine/test/quarantine.test.ts
+++ b/coordination/quarantine/test/quarantine.test.ts
@@ -70,6 +70,45 @@
             expect(kindOf("bad", one)).toBe(Kind.Held);
         });
 
+        // Guards against a request that crashes the only target of its service for ever.
+        it("starts with the third crash of one target that starts again under its identifier", () => {
+            const { crash, kindOf } = createNodes();
+            crash("a");
+            crash("a");
+            expect(kindOf()).toBe(Kind.Allowed);
+            crash("a");
+            expect([kindOf(), kindOf("other")]).toEqual([Kind.Held, Kind.Allowed]);
+        });
+
+        it("doubles with each failed trial on one target up to 15 min", () => {
+            const { crash, timeToTrial } = createNodes();
+            crash("a");
+            crash("a");
+            const holds = Array.from({ length: 8 }, () => {
+                crash("a");
+                return Math.floor(timeToTrial() / minute);
+            });
+            expect(holds).toEqual([1, 2, 4, 8, 15, 15, 15, 15]);
+        });
+
+        it("does not start with crashes of one target between which the call completes", () => {
+            const { clock, one, crash, kindOf } = createNodes();
+            crash("a");
+            crash("a");
+            clock.advance(10);
+            one.recordCompletion("bad");
+            crash("a");
+            crash("a");
+            expect(kindOf()).toBe(Kind.Allowed);
+        });
+
+        it("does not start with three connections that break in one crash", () => {
+            const { one, clock, crash, kindOf } = createNodes();
+            crash("a", ["bad", "bad", "bad"]);
+            one.recordTargetCrash({ target: "a", inFlight: [{ fingerprint: "bad", ageMs: 90 }], at: clock.wallTime() + 10 });
+            expect(kindOf()).toBe(Kind.Allowed);
+        });
+
         it("doubles with each failed trial up to 15 min, and allows one trial each time", () => {
             const { crash, kindOf, timeToTrial } = createNodes();
             crash("a");
