Keep the entry of a leaving target over a planned restart of its node

Cause: at SIGTERM a node removed its entry if its target was leaving. The entry is the only lasting note of the departure; the next process took a late heartbeat of the target for that of a new one.

Ruled out by the log: the departure was stored before the restart (revision 105), and the new process had read the store before the heartbeat came; it created the entry (107) instead of replacing it, so that 106 was the removal.

Change: the entry of a leaving target is completed before the node stops, and removed only if nothing listens at the target's address. On related paths, a process that has not written the entry yet restores the stored departure whenever it sees the entry, also if the late heartbeat came first; it overwrote the entry before, in planned restarts and kills alike.

--- a/coordination/registration/src/localTarget.ts
+++ b/coordination/registration/src/localTarget.ts
@@ -116,11 +116,22 @@
         return { kind: HeartbeatOutcomeKind.Changed };
     }
 
-    /** Restores the announcement of a previous process of this node; a draining target does not become ready again. */
-    restore(announced: AnnouncedTarget): void {
-        if (announced.phase === TargetPhase.Draining) {
-            this.addEndedIncarnation(announced.id, announced.startedAt);
+    /**
+     * Restores the announcement of a previous process of this node: a draining target does not become ready again, and
+     * is leaving from now on if one of its late heartbeats was taken for that of a ready one.
+     */
+    restore(announced: AnnouncedTarget): HeartbeatOutcome {
+        const { current } = this;
+        if (announced.phase !== TargetPhase.Draining) {
+            return { kind: HeartbeatOutcomeKind.Outdated };
         }
+        this.addEndedIncarnation(announced.id, announced.startedAt);
+        if (current === undefined || !isSameIncarnation(current.announced, announced)
+            || current.announced.phase === TargetPhase.Draining) {
+            return { kind: HeartbeatOutcomeKind.Refreshed };
+        }
+        this.current = { ...current, announced: { ...current.announced, phase: TargetPhase.Draining } };
+        return { kind: HeartbeatOutcomeKind.Changed };
     }
 
     /** The target answered a call, which counts like a heartbeat for its availability. */
--- a/coordination/registration/test/localTarget.test.ts
+++ b/coordination/registration/test/localTarget.test.ts
@@ -71,6 +71,22 @@
             expect(target.availability).not.toBe(TargetAvailability.Serving);
         });
 
+        it("is leaving if its late heartbeat arrives before the announcement of a previous process", () => {
+            sendHeartbeat();
+            const stored = { id: "i-1", service: "s", slots: 4, phase: TargetPhase.Draining, startedAt: 1_000, coldUntil: 0 };
+            expect(target.restore(stored).kind).toBe(HeartbeatOutcomeKind.Changed);
+            expect(target.availability).toBe(TargetAvailability.Leaving);
+            expect(target.restore(stored).kind).toBe(HeartbeatOutcomeKind.Refreshed);
+            expect(sendHeartbeat({ sequence: 2 })).toBe(HeartbeatOutcomeKind.Refreshed);
+            expect(target.availability).toBe(TargetAvailability.Leaving);
+        });
+
+        it("serves on if the announcement of a previous process is that of an earlier incarnation", () => {
+            sendHeartbeat({ startedAt: 2_000 });
+            target.restore({ id: "i-1", service: "s", slots: 4, phase: TargetPhase.Draining, startedAt: 1_000, coldUntil: 0 });
+            expect(target.availability).toBe(TargetAvailability.Serving);
+        });
+
         it("serves the next incarnation, even with the same id", () => {
             sendHeartbeat();
             sendHeartbeat({ sequence: 2, phase: TargetPhase.Draining });
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -131,6 +131,7 @@
             node: settings.node,
             zone: settings.zone,
             offerAddress: settings.offerAddress,
+            targetAddress: settings.targetAddress,
             processors: settings.processors,
             target: localTarget,
             collection: platform.nodes,
@@ -429,6 +430,7 @@
     }
 
     private async close(): Promise<void> {
+        this.registrationTask.stop();
         this.configurationCollection.stop();
         this.nodeCollection.stop();
         this.relayTask.stop();
--- a/daemons/sidecar/src/tasks/registrationTask.ts
+++ b/daemons/sidecar/src/tasks/registrationTask.ts
@@ -15,6 +15,7 @@
 import type { EventLog } from "@bilberrycroft/core.eventLog";
 import { type AnnouncedCrash, maxCrashes, type NodeEntry, parseNodeEntry, TargetPhase } from "@bilberrycroft/protocol.forwarding";
 import { type CollectionWrite, type ObjectCollection, StoreOutcomeKind } from "@bilberrycroft/protocol.store";
+import { probeListener } from "@bilberrycroft/transport.calls";
 import { Subject } from "rxjs";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { CollectionContent } from "./collectionTask";
@@ -23,6 +24,8 @@
     readonly node: string;
     readonly zone: string;
     readonly offerAddress: string;
+    /** `host:port` of the target. */
+    readonly targetAddress: string;
     /** Processor cores available to this process; may be fractional. */
     readonly processors: number;
     readonly target: LocalTarget;
@@ -43,6 +46,8 @@
     private readonly entry = new LocalEntry();
     private crashes: AnnouncedCrash[] = [];
     private hasContent = false;
+    /** Whether this process has written the entry. Until then, the stored one is that of a previous process. */
+    private hasWritten = false;
     private pendingWrite: Promise<void> | undefined;
     private isStopped = false;
 
@@ -90,23 +95,44 @@
         if (object !== undefined || revision >= (this.entry.storedRevision ?? 0)) {
             this.entry.setStored(object);
         }
-        if (!this.hasContent) {
-            this.hasContent = true;
-            const storedTarget = parseNodeEntry(object?.value)?.target;
-            if (storedTarget !== undefined) {
-                this.options.target.restore(storedTarget);
-            }
-        }
+        this.hasContent = true;
+        this.restoreTarget(object?.value);
         void this.updateEntry();
     }
 
-    /** Stops all updates of the entry and removes it if the target is draining. */
+    /**
+     * Completes the entry, and removes it if the target has left and exited. A leaving target may run on for seconds,
+     * and its heartbeats may arrive late: the entry tells the next process of this node that it has left.
+     */
     async deregister(): Promise<void> {
-        this.isStopped = true;
-        await this.pendingWrite;
+        const { target, targetAddress, collection, node, log } = this.options;
+        const { leaving } = target;
+        if (leaving === undefined) {
+            await this.pendingWrite;
+            return;
+        }
+        await this.updateEntry();
         const revision = this.entry.storedRevision;
-        if (this.options.target.announced?.phase === TargetPhase.Draining && revision !== undefined) {
-            await this.options.collection.remove(this.options.node, revision);
+        if (revision === undefined || await probeListener(targetAddress)) {
+            return;
+        }
+        this.stop();
+        const { kind } = await collection.remove(node, revision);
+        log.info("entry-removed", { target: leaving.id, revision, outcome: kind });
+    }
+
+    /** Stops all updates of the entry. */
+    stop(): void {
+        this.isStopped = true;
+    }
+
+    /** Applies what a previous process of this node has stored of the target. */
+    private restoreTarget(stored: unknown): void {
+        const { target, log } = this.options;
+        const announced = this.hasWritten ? undefined : parseNodeEntry(stored)?.target;
+        if (announced !== undefined && target.restore(announced).kind === HeartbeatOutcomeKind.Changed) {
+            log.info("target-restored", { target: announced.id, startedAt: announced.startedAt, phase: announced.phase });
+            this.changes.next();
         }
     }
 
@@ -120,10 +146,6 @@
 
     /** Updates the entry in the store; resolves when it is current or the node stops. */
     private updateEntry(): Promise<void> {
-        const { node, zone, offerAddress: address, processors, target } = this.options;
-        if (target.announced !== undefined) {
-            this.entry.setDesired({ node, zone, address, processors, target: target.announced, crashes: this.crashes });
-        }
         this.pendingWrite ??= this.writeUntilCurrent().finally(() => {
             this.pendingWrite = undefined;
         });
@@ -132,6 +154,7 @@
 
     private async writeUntilCurrent(): Promise<void> {
         while (!this.isStopped && this.hasContent) {
+            this.setDesiredEntry();
             const write = this.entry.nextWrite();
             if (write.kind === EntryWriteKind.None) {
                 return;
@@ -147,10 +170,18 @@
         }
     }
 
+    private setDesiredEntry(): void {
+        const { node, zone, offerAddress: address, processors, target } = this.options;
+        if (target.announced !== undefined) {
+            this.entry.setDesired({ node, zone, address, processors, target: target.announced, crashes: this.crashes });
+        }
+    }
+
     /** Returns the delay before the next write. */
     private handleWriteOutcome(entry: NodeEntry, outcome: CollectionWrite): Milliseconds {
         switch (outcome.kind) {
             case StoreOutcomeKind.Done:
+                this.hasWritten = true;
                 this.entry.handleWriteSuccess(entry, outcome.revision);
                 this.options.log.info("entry-written", { revision: outcome.revision, target: entry.target?.id });
                 return 0;
@@ -158,6 +189,7 @@
                 const { object } = outcome;
                 if (object !== undefined) {
                     this.entry.setStored(object);
+                    this.restoreTarget(object.value);
                     return 0;
                 }
                 return this.entry.handleWriteFailure();
