Restore published crashes after a restart of a node

Callers would see: a request that all nodes held, since it had crashed its target three times, reached the target again from the host beside it after a restart of that node; later nodes did not hold it either.

Cause: a new process wrote its entry without the crashes that the previous one had published there, and ignored its own entry when it looked for crashes.

Change: until a process has written its entry, it takes over the crashes found in it.

--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -137,6 +137,7 @@
             collection: platform.nodes,
             clock,
             log,
+            handleRestoredCrashes: crashes => this.learnCrashes(settings.node, crashes),
         });
         this.targetTask = this.createTargetTask(localTarget);
         this.quotaTask = this.createQuotaTask();
@@ -357,7 +358,8 @@
     private applyNodeEntries({ objects }: CollectionContent): void {
         const { entries, crashes, malformed, plans } = this.nodeTable.update(objects);
         malformed.forEach(name => this.options.log.warn("entry-malformed", { name }));
-        crashes.forEach(({ node, crashes: added }) => this.mergeCrashes(node, added));
+        crashes.filter(({ node }) => node !== this.options.settings.node)
+            .forEach(({ node, crashes: added }) => this.learnCrashes(node, added));
         if (this.rolloutTask !== undefined) {
             this.plans = plans;
             const { service } = this.options.settings;
@@ -373,10 +375,7 @@
         this.options.log.info("nodes-changed", { nodes: entries.length, revision: this.nodeCollection.newestRevision });
     }
 
-    private mergeCrashes(node: string, crashes: readonly AnnouncedCrash[]): void {
-        if (node === this.options.settings.node) {
-            return;
-        }
+    private learnCrashes(node: string, crashes: readonly AnnouncedCrash[]): void {
         const reports = crashes.map(crash => ({ kind: QuarantineReportKind.Crash, node, ...crash }) as const);
         this.decisions.quarantine.mergeReports(reports);
         for (const { fingerprint, target, at } of crashes) {
--- a/daemons/sidecar/src/tasks/registrationTask.ts
+++ b/daemons/sidecar/src/tasks/registrationTask.ts
@@ -13,11 +13,19 @@
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import { assertNever } from "@bilberrycroft/core.errors";
 import type { EventLog } from "@bilberrycroft/core.eventLog";
-import { type AnnouncedCrash, maxCrashes, type NodeEntry, parseNodeEntry, TargetPhase } from "@bilberrycroft/protocol.forwarding";
+import {
+    type AnnouncedCrash,
+    type AnnouncedTarget,
+    maxCrashes,
+    type NodeEntry,
+    parseNodeEntry,
+    TargetPhase,
+} from "@bilberrycroft/protocol.forwarding";
 import { type CollectionWrite, type ObjectCollection, StoreOutcomeKind } from "@bilberrycroft/protocol.store";
 import { probeListener } from "@bilberrycroft/transport.calls";
 import { Subject } from "rxjs";
 import { setTimeout as sleep } from "node:timers/promises";
+import { isDeepStrictEqual } from "node:util";
 import type { CollectionContent } from "./collectionTask";
 
 export interface RegistrationTaskOptions {
@@ -32,6 +40,8 @@
     readonly collection: ObjectCollection;
     readonly clock: Clock;
     readonly log: EventLog;
+    /** Called with crashes that a previous process of this node has published. */
+    handleRestoredCrashes(crashes: readonly AnnouncedCrash[]): void;
 }
 
 /**
@@ -96,7 +106,7 @@
             this.entry.setStored(object);
         }
         this.hasContent = true;
-        this.restoreTarget(object?.value);
+        this.restore(object?.value);
         void this.updateEntry();
     }
 
@@ -126,16 +136,32 @@
         this.isStopped = true;
     }
 
-    /** Applies what a previous process of this node has stored of the target. */
-    private restoreTarget(stored: unknown): void {
+    /** Applies what a previous process of this node has stored. */
+    private restore(stored: unknown): void {
+        const entry = this.hasWritten ? undefined : parseNodeEntry(stored);
+        if (entry?.target !== undefined) {
+            this.restoreTarget(entry.target);
+        }
+        this.restoreCrashes(entry?.crashes ?? []);
+    }
+
+    private restoreTarget(announced: AnnouncedTarget): void {
         const { target, log } = this.options;
-        const announced = this.hasWritten ? undefined : parseNodeEntry(stored)?.target;
-        if (announced !== undefined && target.restore(announced).kind === HeartbeatOutcomeKind.Changed) {
+        if (target.restore(announced).kind === HeartbeatOutcomeKind.Changed) {
             log.info("target-restored", { target: announced.id, startedAt: announced.startedAt, phase: announced.phase });
             this.changes.next();
         }
     }
 
+    /** Keeps the published crashes, because this process replaces the entry that holds them. */
+    private restoreCrashes(stored: readonly AnnouncedCrash[]): void {
+        const missing = stored.filter(crash => !this.crashes.some(known => isDeepStrictEqual(known, crash)));
+        if (missing.length > 0) {
+            this.crashes = [...missing, ...this.crashes].slice(-maxCrashes);
+            this.options.handleRestoredCrashes(missing);
+        }
+    }
+
     private async handleTargetChange(isLeaving: boolean): Promise<void> {
         this.changes.next();
         const write = this.updateEntry();
@@ -189,7 +215,7 @@
                 const { object } = outcome;
                 if (object !== undefined) {
                     this.entry.setStored(object);
-                    this.restoreTarget(object.value);
+                    this.restore(object.value);
                     return 0;
                 }
                 return this.entry.handleWriteFailure();
