Test that a status below 100 never reaches a caller

Reported from other systems: a target in trouble sent a response whose status was 000, and the client got it as a response. Here this does not happen: a head with a status below 200 that is no informational response fails the attempt as broken (minFinalStatus in transport/calls/src/targetClient.ts). The callers' node gives 502 without the target's signature or bytes, or the response of another target if the call may be repeated; the call is not taken for refused. So no product code changes.

--- a/daemons/node/test/faultMatrix/oddInputs.ts
+++ b/daemons/node/test/faultMatrix/oddInputs.ts
@@ -40,6 +40,8 @@
     createInput("target", "body of a failure without end", endless, "in the body of a failure"),
     createInput("target", "bytes after a response without end", endless, "after a complete response"),
     createInput("target", "many bodies without end at once", "platform/test/memory.test.ts", "stays within its limit"),
+    createInput("target", "status below 100", "platform/test/statuses.test.ts", "gives the caller a failure without any of it"),
+    createInput("target", "many heads and trailers without end at once", "platform/test/memory.test.ts", "survives bytes without end that are no response"),
     createInput("target", "bodies without end in chunks of one byte", "platform/test/memory.test.ts", "survives responses without end"),
     createInput("target", "crash within a response", calls, "within the response"),
     createInput("target", "crash within a streamed response", calls, "within a streamed response"),
--- a/daemons/node/test/responses.test.ts
+++ b/daemons/node/test/responses.test.ts
@@ -57,6 +57,7 @@
             { name: "invalid content-length", bytes: "HTTP/1.1 200 OK\r\ncontent-length: -6\r\n\r\nleaked", open: true },
             { name: "head too large", bytes: `HTTP/1.1 200 OK\r\nx: ${"x".repeat(40_000)}\r\n\r\nleaked`, open: true },
             { name: "status below 100", bytes: "HTTP/1.1 099 OK\r\ncontent-length: 6\r\n\r\nleaked", open: true },
+            { name: "status 000", bytes: "HTTP/1.1 000 OK\r\ncontent-length: 6\r\n\r\nleaked", open: true },
             { name: "protocol upgrade", bytes: "HTTP/1.1 101 Switch\r\nconnection: upgrade\r\nupgrade: x\r\n\r\nleaked", open: true },
         ];
         it.each(damaged)("$name", async ({ bytes, open }) => {
