--- a/daemons/node/test/faultMatrix/oddInputs.ts
+++ b/daemons/node/test/faultMatrix/oddInputs.ts
@@ -43,6 +43,7 @@
     createInput("target", "status below 100", "platform/test/statuses.test.ts", "gives the caller a failure without any of it"),
     createInput("target", "many heads and trailers without end at once", "platform/test/memory.test.ts", "survives bytes without end that are no response"),
     createInput("target", "bodies without end in chunks of one byte", "platform/test/memory.test.ts", "survives responses without end"),
+    createInput("target", "the same, to `daemons/node`", "daemons/node/test/smallChunks.test.ts", "lives, keeps to its memory and serves"),
     createInput("target", "crash within a response", calls, "within the response"),
     createInput("target", "crash within a streamed response", calls, "within a streamed response"),
     createInput("target", "crash within a refusal", calls, "within a refusal are quarantined"),
--- a/daemons/node/test/support.ts
+++ b/daemons/node/test/support.ts
@@ -149,8 +149,8 @@
 /** Starts a target that announces itself to the node; resolves once the node routes calls to it. */
 export async function startFakeTarget(
     cleanup: Cleanup,
-    node: RunningNode,
-    options: { readonly id?: string; readonly behaviour?: TargetBehaviour } = {},
+    node: Pick<RunningNode, "callAddress" | "controlAddress">,
+    options: { readonly id?: string; readonly behaviour?: TargetBehaviour; readonly slots?: number } = {},
 ): Promise<FakeTarget> {
     const receivedCalls: ReceivedCall[] = [];
     let ready = false;
@@ -171,7 +171,7 @@
     const id = options.id ?? "t1";
     let state = TargetState.Ready;
     const announce = async (): Promise<void> => {
-        const body = JSON.stringify({ id, service: "svc", address, state, slots: 8, connections: 50 });
+        const body = JSON.stringify({ id, service: "svc", address, state, slots: options.slots ?? 8, connections: 50 });
         await send(node.controlAddress, "/announce", { method: "POST", body }).catch(() => undefined);
     };
     const timer = setInterval(() => void announce(), announceIntervalMs);
--- a/transport/calls/src/index.ts
+++ b/transport/calls/src/index.ts
@@ -10,3 +10,4 @@
 export * from "./streaming";
 export * from "./targetClient";
 export * from "./parserErrors";
+export * from "./pieceCollector";
--- a/transport/calls/src/pieceCollector.ts
+++ b/transport/calls/src/pieceCollector.ts
@@ -1,6 +1,6 @@
 /**
- * Joins small pieces of a response body, so that they share a frame. A target may send its response in chunks of one
- * byte; a frame for each would take a hundred times the memory of the body, here and in the node that receives it.
+ * Joins small pieces of a response body, so that they share a write. A target may send its response in chunks of one
+ * byte; a write for each would take a hundred times the memory of the body.
  */
 
 export class PieceCollector {
--- a/transport/forwarding/src/offerListener.ts
+++ b/transport/forwarding/src/offerListener.ts
@@ -25,9 +25,9 @@
     type PeerState,
     type Refusal,
 } from "@bilberrycroft/protocol.forwarding";
+import { PieceCollector } from "@bilberrycroft/transport.calls";
 import type { ResponsePacer, PacedResponse } from "./responsePacer";
 import { FrameConnection, type FrameFaultHandler } from "./frameConnection";
-import { PieceCollector } from "./pieceCollector";
 import { observeTurnEnd, type TurnObserver, writeInTurn } from "./turnWrites";
 
 /** Receives the events of an incoming offer. */
