Allocate 16 KiB, not 64 KiB, for the second chunk of a response

The first part that BodyBuffer allocates is the small one, also if it has kept a chunk before. Otherwise a response of two small chunks counted 64 KiB against the budget of the process.

--- a/transport/calls/src/bodyBuffer.ts
+++ b/transport/calls/src/bodyBuffer.ts
@@ -15,9 +15,9 @@
     readonly keepsChunks?: boolean;
 }
 
-/** Bodies up to this size are held in one part of their size, if they declare it. */
+/** Size of the first allocated part; a smaller body that declares its size gets a part of that size. */
 const firstPartBytes = 16_384;
-/** Size of all further parts. Parts of one size can be used again for any other body. */
+/** Size of all further allocated parts. Parts of one size can be used again for any other body. */
 const partBytes = 65_536;
 /** Chunks from this size on may be kept: the object of a chunk is small compared with them. */
 const minKeptBytes = 16_384;
@@ -34,6 +34,7 @@
     /** The last part, if there is room in it. */
     private current: Buffer | undefined;
     private filled = 0;
+    private hasAllocated = false;
     private receivedBytes = 0;
     private heldBytes = 0;
 
@@ -91,10 +92,10 @@
 
     private allocate(): Buffer {
         const { expectedBytes = 0 } = this.options;
-        const isFirst = this.parts.length === 0;
-        const part = isFirst
-            ? Buffer.allocUnsafeSlow(Math.min(firstPartBytes, expectedBytes > 0 ? expectedBytes : firstPartBytes))
-            : freeParts.pop() ?? Buffer.allocUnsafeSlow(partBytes);
+        const part = this.hasAllocated
+            ? freeParts.pop() ?? Buffer.allocUnsafeSlow(partBytes)
+            : Buffer.allocUnsafeSlow(Math.min(firstPartBytes, expectedBytes > 0 ? expectedBytes : firstPartBytes));
+        this.hasAllocated = true;
         this.filled = 0;
         this.parts.push(part);
         this.heldBytes += part.length;
@@ -105,6 +106,7 @@
         this.parts = [];
         this.current = undefined;
         this.filled = 0;
+        this.hasAllocated = false;
         this.receivedBytes = 0;
         this.heldBytes = 0;
     }
