--- a/transport/calls/src/pieceCollector.ts
+++ b/transport/calls/src/pieceCollector.ts
@@ -11,11 +11,6 @@
 
     constructor(private readonly maxBytes: number) {}
 
-    /** Bytes of the pieces. */
-    get bytes(): number {
-        return this.collectedBytes;
-    }
-
     /** Whether a further piece of this size can be added. */
     hasRoom(bytes: number): boolean {
         return this.collectedBytes + bytes <= this.maxBytes;
