--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -15,7 +15,10 @@
 const contactS = 3;
 const drainS = 2;
 const servesOnS = 10;
-const requestGapMs = 300;
+/** Each client polls every three seconds. */
+const pollMs = 3_000;
+const requestsAtOnce = 12;
+const workMs = 100;
 
 const mesh = new Mesh({ folder: dirname(fileURLToPath(import.meta.url)) });
 
@@ -23,18 +26,22 @@
     const routes = [createRoute({ name: "r-look", prefix: "/leny950/", type: "idempotent", service: "pieds" })];
     await mesh.start(createConfiguration({ version: "r7", routes, services: ["pieds", "seances"] }));
     for (let number = 0; number < 4; number++) {
-        await mesh.addMachine({ service: number < 2 ? "pieds" : "seances", slots: 12 });
+        await mesh.addMachine({ service: number < 2 ? "pieds" : "seances", slots: 12, workMs });
     }
     await mesh.waitUntilReady();
 }
 
-/** Clients at all machines ask until `isOver` says so. */
+/** Clients at all machines ask at the same time, every few seconds, until `isOver` says so. */
 async function press(isOver) {
     const pending = [];
-    for (let next = 0; !isOver(); next++) {
-        const { ip } = mesh.machines[next % mesh.machines.length];
-        pending.push(send({ ip, port: outboundPort, host: hostname, path: `/leny950/${next}`, record: mesh.record }));
-        await sleep(requestGapMs);
+    while (!isOver()) {
+        for (let count = 0; count < requestsAtOnce; count++) {
+            const { ip } = mesh.machines[count % mesh.machines.length];
+            const request = { ip, port: outboundPort, host: hostname, path: `/leny950/${count}`, record: mesh.record };
+            pending.push(send(request));
+        }
+        mesh.record("asked");
+        await sleep(pollMs);
     }
     await Promise.all(pending);
 }
@@ -51,12 +58,13 @@
     mesh.record("endpoint-replaced", { endpoint: endpoint.id, born: endpoint.born, status: await endpoint.sendHeartbeat() });
 }
 
-/** Resolves just after a request has been sent and answered, so that none comes while the endpoint is down. */
+/** Resolves when the clients have just been answered, so that no request comes while the endpoint is down. */
 async function waitUntilIdle() {
     const { length } = mesh.entries;
-    while (!mesh.entries.slice(length).some(({ event }) => event === "answered")) {
+    while (!mesh.entries.slice(length).some(({ event }) => event === "asked")) {
         await sleep(5);
     }
+    await sleep(2 * workMs);
 }
 
 /** The endpoint crashes and is back under its id; `born` is the time of day of its machine. */
@@ -82,6 +90,7 @@
         await crashAndRestart(machine, -stepBackMs);
     }
     await sleep((2 * contactS + 2) * 1_000);
+    await waitUntilIdle();
     endpoint.state = "draining";
     const status = await endpoint.sendHeartbeat();
     const ackAt = mesh.now;
--- a/review/15/case.mjs
+++ b/review/15/case.mjs
@@ -26,22 +26,27 @@
 const mesh = new Mesh({ folder: dirname(fileURLToPath(import.meta.url)) });
 
 async function startMesh() {
-    const routes = [createRoute({ name: "r-look", prefix: "/leny950/", type: "idempotent", service: "pieds", timeoutS })];
-    await mesh.start(createConfiguration({ version: "r7", routes, services: ["pieds"] }));
+    const action = { service: "seances", timeoutS };
+    const routes = [createRoute({ name: "r-book", prefix: "/puka111/", type: "non_idempotent", ...action })];
+    await mesh.start(createConfiguration({ version: "r7", routes, services: ["seances"] }));
     for (let number = 0; number < 4; number++) {
-        await mesh.addMachine({ service: "pieds", slots: 12 });
+        await mesh.addMachine({ service: "seances", slots: 12 });
     }
     await mesh.waitUntilReady();
     await sleep(1_000);
 }
 
-/** Ordinary requests at one machine; resolves to the time that each took until its answer or its end. */
+/**
+ * Ordinary requests at one machine; resolves to the time that each took until its answer or its end. They aren't
+ * idempotent, so that their clients wait for them to the deadline also where the node doesn't read them.
+ */
 async function askOrdinarily({ ip }, isOver) {
     const pending = [];
     while (!isOver()) {
         const startedAt = performance.now();
-        const request = { ip, port: outboundPort, host: hostname, path: "/leny950/1", deadlineMs, record: mesh.record };
-        pending.push(send(request).then(({ status }) => ({ status, tookS: (performance.now() - startedAt) / 1_000 })));
+        const request = { ip, port: outboundPort, host: hostname, path: "/puka111/1", method: "POST", body: "voucher" };
+        const answer = send({ ...request, deadlineMs, record: mesh.record });
+        pending.push(answer.then(({ status }) => ({ status, tookS: (performance.now() - startedAt) / 1_000 })));
         await sleep(requestGapMs);
     }
     return Promise.all(pending);
--- a/review/support-3/endpoint.mjs
+++ b/review/support-3/endpoint.mjs
@@ -91,7 +91,8 @@
         }
         const { headers, method, url } = request;
         const id = headers["x-attempt-id"];
-        const base = { "x-attempt-id": id ?? "", "x-instance-id": this.id, ...this.extraHeaders };
+        const leaving = this.state === "draining" ? { "server-leaving": "1" } : {};
+        const base = { "x-attempt-id": id ?? "", "x-instance-id": this.id, ...leaving, ...this.extraHeaders };
         if (headers["x-target-instance"] !== this.id) {
             response.writeHead(421, base).end();
             return;
