--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -1,100 +1,105 @@
 /**
- * Several sidecars are killed at the same moment and are started again one after the other, while tenants ask more than
- * their quota.
+ * Three endpoints of a service crash, one after the other, while clients ask it for one and the same thing; each is
+ * back soon. Then all sidecars are killed, as at the end of a day, and are started again.
  */
 import { dirname } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
-import { createId, send } from "../support-3/client.mjs";
+import { send } from "../support-3/client.mjs";
 import { createConfiguration, createRoute, hostname, Mesh, outboundPort, runCase } from "../support-3/mesh.mjs";
-import { computeBound, countFullestWindow } from "../support-3/quotaCheck.mjs";
 
 const hasTrouble = process.env.TROUBLE !== "0";
-const machineCount = 10;
-const killedShare = 0.6;
-const firstRestartMs = 300;
-const restartGapMs = 300;
-const bounds = { windowS: 5, overage: 0.1, slack: 20 };
-const quota = { ratePerS: 3, burst: 3 };
-const tenants = ["pulo343", "pulo300", "pulo317"].map((name, index) => ({
-    Name: name,
-    ApiKeys: [`kmgjqnirth5mgjy5rcp${index}`],
-    Priority: 1,
-    RatePerS: quota.ratePerS,
-    Burst: quota.burst,
-}));
-/** Requests a second of each tenant. */
-const askedPerS = 100;
-const tickMs = 20;
-const calmS = 10;
-const pressS = 9;
-const killAfterMs = 1_000;
+/** `CRASHES=0` leaves the kill alone. */
+const hasCrashes = hasTrouble && process.env.CRASHES !== "0";
+/** One of them is less than .15. */
+const endpointCount = 7;
+const otherCount = 9;
+const crashCount = 3;
+const beforeS = 15;
+const downMs = 1_500;
+const crashGapMs = 2_000;
+const restartMs = 600;
+const recoveryS = 15;
+const observedS = 20;
+/** A tick sends several requests. */
+const tickMs = 10;
+const requestsPerTick = 3;
 
-const mesh = new Mesh({
-    folder: dirname(fileURLToPath(import.meta.url)),
-    settings: {
-        Contracts: "base,drain,config,cost,retry,recover,tenants,quota,platform",
-        "Bounds.QuotaWindowS": String(bounds.windowS),
-        "Bounds.QuotaOverage": String(bounds.overage),
-        "Bounds.QuotaSlack": String(bounds.slack),
-    },
-});
+const mesh = new Mesh({ folder: dirname(fileURLToPath(import.meta.url)) });
 
 async function startMesh() {
-    const routes = [createRoute({ name: "r-list", prefix: "/leny950/", type: "idempotent", service: "roster", allowAnonymous: false })];
-    await mesh.start(createConfiguration({ version: "r7", routes, services: ["roster"], tenants }));
-    for (let number = 0; number < machineCount; number++) {
-        await mesh.addMachine({ service: "roster", zone: number % 2 === 0 ? "pnw-b" : "pnw-a", slots: 12, workMs: 5 });
+    const limits = { timeoutS: 1.2, latencyS: 0.3 };
+    const routes = [createRoute({ name: "r-read", prefix: "/leny950/", type: "idempotent", service: "readings", ...limits })];
+    await mesh.start(createConfiguration({ version: "r7", routes, services: ["readings", "alarms"] }));
+    for (let number = 0; number < endpointCount + otherCount; number++) {
+        await mesh.addMachine({ service: number < endpointCount ? "readings" : "alarms", slots: 6, workMs: 76 });
     }
     await mesh.waitUntilReady();
+    await sleep(1_000);
 }
 
-function killTogether() {
-    const victims = mesh.machines.slice(0, Math.floor(killedShare * machineCount));
-    return Promise.all(victims.map((machine, index) =>
-        mesh.killAndRestart(machine, firstRestartMs + restartGapMs * index)));
-}
-
-/** All tenants ask more than their quota at all machines; returns what was sent. */
-async function press() {
+/** Clients at all machines view the state of one shed. */
+async function press(isOver) {
     const sent = [];
     const pending = [];
-    const endsAt = mesh.now + pressS;
-    let next = 0;
-    while (mesh.now < endsAt) {
-        for (const { Name, ApiKeys: [key] } of tenants) {
-            for (let count = 0; count < askedPerS * tickMs / 1_000; count++) {
-                const { ip } = mesh.machines[next++ % machineCount];
-                const id = createId();
-                sent.push({ id, tenant: Name, sentAt: mesh.now });
-                const headers = { authorization: `Bearer ${key}` };
-                const request = { ip, port: outboundPort, host: hostname, path: "/leny950/1", headers, id };
-                pending.push(send({ ...request, record: mesh.record }));
-            }
-        }
+    const ask = () => {
+        const { ip } = mesh.machines[sent.length % mesh.machines.length];
+        const entry = { sentAt: mesh.now, status: 0 };
+        sent.push(entry);
+        const request = { ip, port: outboundPort, host: hostname, path: "/leny950/shed-7", deadlineMs: 1_200 };
+        pending.push(send({ ...request, record: mesh.record }).then(({ status }) => {
+            entry.status = status;
+        }));
+    };
+    while (!isOver()) {
+        Array.from({ length: requestsPerTick }, ask);
         await sleep(tickMs);
     }
     await Promise.all(pending);
     return sent;
 }
 
+/** The endpoint crashes and comes back as another incarnation. */
+async function crash({ endpoint }) {
+    mesh.record("endpoint-crashed", { endpoint: endpoint.id });
+    endpoint.stop();
+    await sleep(downMs);
+    Object.assign(endpoint, { id: `${endpoint.id}-2`, born: Date.now(), sequence: 0, running: 0, waiting: [] });
+    await endpoint.start();
+    await endpoint.sendHeartbeat();
+    mesh.record("endpoint-back", { endpoint: endpoint.id });
+}
+
+function shareServed(sent) {
+    return sent.filter(({ status }) => status === 200).length / sent.length;
+}
+
 await runCase(mesh, async () => {
     await startMesh();
-    await sleep(calmS * 1_000);
-    const killing = hasTrouble ? sleep(killAfterMs).then(killTogether) : Promise.resolve();
-    const sent = await press();
-    await killing;
-    const bound = computeBound({ ...quota, ...bounds });
-    const ranAt = new Map(mesh.entries.filter(({ event }) => event === "run").map(({ id, at }) => [id, at]));
-    const broken = [];
-    for (const { Name } of tenants) {
-        const runs = sent.filter(({ id, tenant }) => tenant === Name && ranAt.has(id))
-            .map(({ id, sentAt }) => ({ sentAt, runAt: ranAt.get(id) }));
-        const fullest = countFullestWindow(runs, bounds.windowS);
-        mesh.record("tenant", { tenant: Name, ran: runs.length, fullestWindow: fullest, bound });
-        if (fullest > bound) {
-            broken.push(`QUOTA: tenant ${Name} had ${fullest} requests run in ${bounds.windowS} s, the bound is ${bound.toFixed(1)}`);
+    let isOver = false;
+    const pressing = press(() => isOver);
+    await sleep(beforeS * 1_000);
+    if (hasCrashes) {
+        for (const machine of mesh.machines.slice(0, crashCount)) {
+            void crash(machine);
+            await sleep(crashGapMs);
         }
     }
-    return broken;
+    const faultAt = mesh.now;
+    if (hasTrouble) {
+        await Promise.all(mesh.machines.map(machine => mesh.killAndRestart(machine, restartMs)));
+        await mesh.waitUntilReady();
+    }
+    const backAt = mesh.now;
+    mesh.record("back");
+    await sleep((recoveryS + observedS) * 1_000);
+    isOver = true;
+    const sent = await pressing;
+    const before = shareServed(sent.filter(({ sentAt }) => sentAt < faultAt));
+    const after = shareServed(sent.filter(({ sentAt }) => sentAt > backAt + recoveryS));
+    mesh.record("observed", { before, after });
+    return before >= 0.25 && after < 0.25
+        ? [`RECOVER: ${(100 * after).toFixed(1)} % of the requests sent more than ${recoveryS} s after the machines were back`
+            + ` were served; before the final fault it was ${(100 * before).toFixed(1)} %`]
+        : [];
 });
--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -1,6 +1,6 @@
 /**
- * The time of day of a machine jumps back, and the endpoint on it crashes and starts again under the id that it had.
- * Much later it leaves, and says so.
+ * The store is away for a moment and comes back from a copy some seconds old. Later the operator moves a route to
+ * another service.
  */
 import { dirname } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -9,99 +9,101 @@
 import { createConfiguration, createRoute, hostname, Mesh, outboundPort, runCase } from "../support-3/mesh.mjs";
 
 const hasTrouble = process.env.TROUBLE !== "0";
-/** As in the site file: clock_step with x = 2400. */
-const stepBackMs = 2_400;
-const downMs = 200;
+const services = ["pieds", "seances"];
+const copyAgeS = 4;
+const awayS = 1;
 const contactS = 3;
-const drainS = 2;
-const servesOnS = 10;
-/** Each client polls every three seconds. */
-const pollMs = 3_000;
-const requestsAtOnce = 12;
-const workMs = 100;
+const configApplyS = 2;
+/** The largest time by which an unstable core stretches the bound of configuration. */
+const maxStretchS = 5;
+const observedS = 12;
+const requestGapMs = 100;
 
 const mesh = new Mesh({ folder: dirname(fileURLToPath(import.meta.url)) });
 
+function createVersion(version, movedTo) {
+    const kept = createRoute({ name: "r-book", prefix: "/puka111/", type: "non_idempotent", service: "seances" });
+    const moved = createRoute({ name: "r-look", prefix: "/leny950/", type: "idempotent", service: movedTo });
+    return createConfiguration({ version, routes: [kept, moved], services });
+}
+
+/** The operator writes a version; the store's response is the acknowledgement. */
+function configure(version, movedTo) {
+    mesh.store.put("config", "main", createVersion(version, movedTo));
+    mesh.record("acknowledged", { version, movedTo, revision: mesh.store.revision });
+    return mesh.now;
+}
+
 async function startMesh() {
-    const routes = [createRoute({ name: "r-look", prefix: "/leny950/", type: "idempotent", service: "pieds" })];
-    await mesh.start(createConfiguration({ version: "r7", routes, services: ["pieds", "seances"] }));
-    for (let number = 0; number < 4; number++) {
-        await mesh.addMachine({ service: number < 2 ? "pieds" : "seances", slots: 12, workMs });
+    await mesh.start(createVersion("r7", "pieds"));
+    for (let number = 0; number < 6; number++) {
+        const zone = number < 3 ? "plateau" : "medina";
+        await mesh.addMachine({ service: services[number % 2], zone, slots: 12 });
     }
     await mesh.waitUntilReady();
+    await sleep(2_000);
 }
 
-/** Clients at all machines ask at the same time, every few seconds, until `isOver` says so. */
-async function press(isOver) {
-    const pending = [];
-    while (!isOver()) {
-        for (let count = 0; count < requestsAtOnce; count++) {
-            const { ip } = mesh.machines[count % mesh.machines.length];
-            const request = { ip, port: outboundPort, host: hostname, path: `/leny950/${count}`, record: mesh.record };
-            pending.push(send(request));
-        }
-        mesh.record("asked");
-        await sleep(pollMs);
+/** Planned work of the usual kind, which the system notes in the store: three endpoints are replaced. */
+async function replaceEndpoints() {
+    for (const machine of mesh.machines.slice(0, 3)) {
+        const { endpoint } = machine;
+        endpoint.id = `${endpoint.id}-2`;
+        endpoint.born = Date.now();
+        endpoint.sequence = 0;
+        await endpoint.sendHeartbeat();
+        await sleep(300);
     }
-    await Promise.all(pending);
 }
 
-/** The endpoint is replaced, as a release does it: the next one has another id. */
-async function replaceEndpoint({ endpoint }) {
-    endpoint.state = "draining";
-    await endpoint.sendHeartbeat();
-    await sleep((drainS + 0.5) * 1_000);
-    await endpoint.deregister();
-    endpoint.stop();
-    Object.assign(endpoint, { id: `${endpoint.id}-2`, born: Date.now(), sequence: 0, state: "ready" });
-    await endpoint.start();
-    mesh.record("endpoint-replaced", { endpoint: endpoint.id, born: endpoint.born, status: await endpoint.sendHeartbeat() });
+/** The drill; what the operator wrote since the copy is written again, in its order. */
+async function drill(copy, versions) {
+    mesh.store.goAway();
+    mesh.record("store-away");
+    await sleep(awayS * 1_000);
+    mesh.store.comeBackFrom(copy);
+    mesh.record("store-back", { revision: mesh.store.revision, era: mesh.store.era });
+    versions.forEach(([version, movedTo]) => configure(version, movedTo));
 }
 
-/** Resolves when the clients have just been answered, so that no request comes while the endpoint is down. */
-async function waitUntilIdle() {
-    const { length } = mesh.entries;
-    while (!mesh.entries.slice(length).some(({ event }) => event === "asked")) {
-        await sleep(5);
+/** Sends requests to all machines; returns those that were run by the service that the version has left. */
+async function observe(ackAt, boundS) {
+    const sent = [];
+    const pending = [];
+    const endsAt = ackAt + boundS + observedS;
+    while (mesh.now < endsAt) {
+        for (const { ip, name } of mesh.machines) {
+            const sentAt = mesh.now;
+            pending.push(send({ ip, port: outboundPort, host: hostname, path: "/leny950/1", record: mesh.record })
+                .then(({ id, status }) => sent.push({ id, status, sentAt, name })));
+        }
+        await sleep(requestGapMs);
     }
-    await sleep(2 * workMs);
-}
-
-/** The endpoint crashes and is back under its id; `born` is the time of day of its machine. */
-async function crashAndRestart({ endpoint }, timeOfDayOffsetMs) {
-    await waitUntilIdle();
-    mesh.record("endpoint-crashed", { endpoint: endpoint.id, born: endpoint.born });
-    endpoint.stop();
-    await sleep(downMs);
-    Object.assign(endpoint, { born: Date.now() + timeOfDayOffsetMs, sequence: 0 });
-    await endpoint.start();
-    mesh.record("endpoint-restarted", { endpoint: endpoint.id, born: endpoint.born, status: await endpoint.sendHeartbeat() });
+    await Promise.all(pending);
+    const late = sent.filter(({ sentAt }) => sentAt > ackAt + boundS);
+    const services = new Map(mesh.entries.filter(({ event }) => event === "run").map(({ id, service }) => [id, service]));
+    return { late, stale: late.filter(({ id }) => services.get(id) === "pieds") };
 }
 
 await runCase(mesh, async () => {
     await startMesh();
-    let isOver = false;
-    const pressing = press(() => isOver);
-    const [machine] = mesh.machines;
-    const { endpoint } = machine;
-    await replaceEndpoint(machine);
+    const copy = mesh.store.takeCopy();
+    const copiedAt = mesh.now;
+    await replaceEndpoints();
+    configure("r9", "pieds");
+    await sleep(Math.max(0, copiedAt + copyAgeS - mesh.now) * 1_000);
     if (hasTrouble) {
-        mesh.record("clock-step", { machine: machine.name, byMs: -stepBackMs });
-        await crashAndRestart(machine, -stepBackMs);
+        await drill(copy, [["r9", "pieds"]]);
     }
-    await sleep((2 * contactS + 2) * 1_000);
-    await waitUntilIdle();
-    endpoint.state = "draining";
-    const status = await endpoint.sendHeartbeat();
-    const ackAt = mesh.now;
-    mesh.record("leaving-acknowledged", { endpoint: endpoint.id, status });
-    await sleep(servesOnS * 1_000);
-    isOver = true;
-    await pressing;
-    const late = mesh.entries.filter(({ event, at, endpoint: ran }) =>
-        event === "run" && ran === endpoint.id && at > ackAt + drainS);
-    return status === 200 && late.length > 0
-        ? [`DRAIN: ${late.length} requests reached endpoint ${endpoint.id} more than ${drainS} s after the acknowledgement`
-            + ` that it leaves, the last one after ${(late.at(-1).at - ackAt).toFixed(1)} s`]
-        : [];
+    // The machines are in touch again this long after the disruption.
+    await sleep((contactS + 1) * 1_000);
+    const ackAt = configure("r12", "seances");
+    const boundS = configApplyS + maxStretchS;
+    const { late, stale } = await observe(ackAt, boundS);
+    mesh.record("observed", { late: late.length, stale: stale.length });
+    const machines = new Set(stale.map(({ name }) => name));
+    return stale.length === 0
+        ? []
+        : [`CONFIG: ${stale.length} of ${late.length} requests sent more than ${boundS} s after the acknowledgement of r12`
+            + ` were run by the old service, at ${machines.size} of ${mesh.machines.length} machines`];
 });
--- a/review/15/case.mjs
+++ b/review/15/case.mjs
@@ -1,83 +1,100 @@
 /**
- * A few clients that nobody controls send requests inside the operator's limits whose paths consist of slashes. The
- * ordinary clients on the same machine go on.
+ * Several sidecars are killed at the same moment and are started again one after the other, while tenants ask more than
+ * their quota.
  */
 import { dirname } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
-import { Agent } from "node:http";
 import { createId, send } from "../support-3/client.mjs";
 import { createConfiguration, createRoute, hostname, Mesh, outboundPort, runCase } from "../support-3/mesh.mjs";
+import { computeBound, countFullestWindow } from "../support-3/quotaCheck.mjs";
 
 const hasTrouble = process.env.TROUBLE !== "0";
-/** Connections of all odd clients together; each sends one request at a time. */
-const oddConnections = 40;
-/** With the other fields, the head stays below `MaxHeaderBytes`, 16,384. */
-const oddPath = "/".repeat(15_000);
-const pressS = 15;
-const timeoutS = 1;
-const deadlineMs = 4_000;
-/** The rule looks half a second after the timeout of the route. */
-const graceS = 0.5;
-const requestGapMs = 50;
-/** Below this number a slow moment of the machine would decide. */
-const minUnanswered = 20;
+const machineCount = 10;
+const killedShare = 0.6;
+const firstRestartMs = 300;
+const restartGapMs = 300;
+const bounds = { windowS: 5, overage: 0.1, slack: 20 };
+const quota = { ratePerS: 3, burst: 3 };
+const tenants = ["pulo343", "pulo300", "pulo317"].map((name, index) => ({
+    Name: name,
+    ApiKeys: [`kmgjqnirth5mgjy5rcp${index}`],
+    Priority: 1,
+    RatePerS: quota.ratePerS,
+    Burst: quota.burst,
+}));
+/** Requests a second of each tenant. */
+const askedPerS = 100;
+const tickMs = 20;
+const calmS = 10;
+const pressS = 9;
+const killAfterMs = 1_000;
 
-const mesh = new Mesh({ folder: dirname(fileURLToPath(import.meta.url)) });
+const mesh = new Mesh({
+    folder: dirname(fileURLToPath(import.meta.url)),
+    settings: {
+        Contracts: "base,drain,config,cost,retry,recover,tenants,quota,platform",
+        "Bounds.QuotaWindowS": String(bounds.windowS),
+        "Bounds.QuotaOverage": String(bounds.overage),
+        "Bounds.QuotaSlack": String(bounds.slack),
+    },
+});
 
 async function startMesh() {
-    const action = { service: "seances", timeoutS };
-    const routes = [createRoute({ name: "r-book", prefix: "/puka111/", type: "non_idempotent", ...action })];
-    await mesh.start(createConfiguration({ version: "r7", routes, services: ["seances"] }));
-    for (let number = 0; number < 4; number++) {
-        await mesh.addMachine({ service: "seances", slots: 12 });
+    const routes = [createRoute({ name: "r-list", prefix: "/leny950/", type: "idempotent", service: "roster", allowAnonymous: false })];
+    await mesh.start(createConfiguration({ version: "r7", routes, services: ["roster"], tenants }));
+    for (let number = 0; number < machineCount; number++) {
+        await mesh.addMachine({ service: "roster", zone: number % 2 === 0 ? "pnw-b" : "pnw-a", slots: 12, workMs: 5 });
     }
     await mesh.waitUntilReady();
-    await sleep(1_000);
 }
 
-/**
- * Ordinary requests at one machine; resolves to the time that each took until its answer or its end. They aren't
- * idempotent, so that their clients wait for them to the deadline also where the node doesn't read them.
- */
-async function askOrdinarily({ ip }, isOver) {
-    const pending = [];
-    while (!isOver()) {
-        const startedAt = performance.now();
-        const request = { ip, port: outboundPort, host: hostname, path: "/puka111/1", method: "POST", body: "voucher" };
-        const answer = send({ ...request, deadlineMs, record: mesh.record });
-        pending.push(answer.then(({ status }) => ({ status, tookS: (performance.now() - startedAt) / 1_000 })));
-        await sleep(requestGapMs);
-    }
-    return Promise.all(pending);
+function killTogether() {
+    const victims = mesh.machines.slice(0, Math.floor(killedShare * machineCount));
+    return Promise.all(victims.map((machine, index) =>
+        mesh.killAndRestart(machine, firstRestartMs + restartGapMs * index)));
 }
 
-async function askOddly({ ip }, isOver) {
-    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
-    while (!isOver()) {
-        const request = { ip, port: outboundPort, host: hostname, path: oddPath, deadlineMs: 60_000, agent };
-        const { status } = await send({ ...request, id: createId() });
-        mesh.record("odd-answered", { status });
+/** All tenants ask more than their quota at all machines; returns what was sent. */
+async function press() {
+    const sent = [];
+    const pending = [];
+    const endsAt = mesh.now + pressS;
+    let next = 0;
+    while (mesh.now < endsAt) {
+        for (const { Name, ApiKeys: [key] } of tenants) {
+            for (let count = 0; count < askedPerS * tickMs / 1_000; count++) {
+                const { ip } = mesh.machines[next++ % machineCount];
+                const id = createId();
+                sent.push({ id, tenant: Name, sentAt: mesh.now });
+                const headers = { authorization: `Bearer ${key}` };
+                const request = { ip, port: outboundPort, host: hostname, path: "/leny950/1", headers, id };
+                pending.push(send({ ...request, record: mesh.record }));
+            }
+        }
+        await sleep(tickMs);
     }
-    agent.destroy();
+    await Promise.all(pending);
+    return sent;
 }
 
 await runCase(mesh, async () => {
     await startMesh();
-    const [machine] = mesh.machines;
-    const endsAt = mesh.now + pressS;
-    const isOver = () => mesh.now > endsAt;
-    const ordinary = askOrdinarily(machine, isOver);
-    await sleep(1_000);
-    if (hasTrouble) {
-        Array.from({ length: oddConnections }, () => void askOddly(machine, isOver));
+    await sleep(calmS * 1_000);
+    const killing = hasTrouble ? sleep(killAfterMs).then(killTogether) : Promise.resolve();
+    const sent = await press();
+    await killing;
+    const bound = computeBound({ ...quota, ...bounds });
+    const ranAt = new Map(mesh.entries.filter(({ event }) => event === "run").map(({ id, at }) => [id, at]));
+    const broken = [];
+    for (const { Name } of tenants) {
+        const runs = sent.filter(({ id, tenant }) => tenant === Name && ranAt.has(id))
+            .map(({ id, sentAt }) => ({ sentAt, runAt: ranAt.get(id) }));
+        const fullest = countFullestWindow(runs, bounds.windowS);
+        mesh.record("tenant", { tenant: Name, ran: runs.length, fullestWindow: fullest, bound });
+        if (fullest > bound) {
+            broken.push(`QUOTA: tenant ${Name} had ${fullest} requests run in ${bounds.windowS} s, the bound is ${bound.toFixed(1)}`);
+        }
     }
-    const answers = await ordinary;
-    const unanswered = answers.filter(({ tookS }) => tookS > timeoutS);
-    const late = unanswered.filter(({ tookS, status }) => tookS > timeoutS + graceS || status === 0);
-    mesh.record("observed", { sent: answers.length, unanswered: unanswered.length, late: late.length });
-    return unanswered.length >= minUnanswered && late.length > unanswered.length / 2
-        ? [`CONFIG: of ${answers.length} ordinary requests ${unanswered.length} were unanswered at the timeout of their route, `
-            + `${late.length} of them still half a second later`]
-        : [];
+    return broken;
 });
