Pass on the completions that clear a request of crashes

Without the kill, nodes beside no target of the service refused it.

Cause: crashes travel through the entries in the store, completions were known only to the node beside the target. The log of such a node shows crashes-learned for i-1 and i-2, then call-quarantined; after the restart all nodes read the five reports 16 ms after their start. Ruled out: targets that are not found (with the kill alone all is served; refused by quarantine).

Change: callers' nodes count complete answers as completions; a crash report names the last completion before it, which clears earlier crashes wherever it is read; a completion without which other nodes hold the request is written to the entry, by about two nodes. Requests that crash their targets never complete, so they are held as before.

--- a/coordination/quarantine/src/crashHistory.ts
+++ b/coordination/quarantine/src/crashHistory.ts
@@ -1,6 +1,9 @@
 /**
  * Crash history of one fingerprint. Consecutive crashes are derived from reports only, so that nodes with the same
  * reports agree on them.
+ *
+ * A crash before a completion is no evidence against the fingerprint. Completions that other nodes report, and those
+ * that a crash report names, are known to all nodes; a completion on this node is not, until this node reports it.
  */
 import type { Milliseconds } from "@bilberrycroft/core.clock";
 import type { CrashReport } from "./types";
@@ -29,24 +32,29 @@
     readonly ageMs: Milliseconds;
 }
 
-/** Crashes of a fingerprint since its last completion. */
+/** Crashes of a fingerprint since its last reported completion. */
 export class CrashHistory {
     private crashes: ReceivedCrash[] = [];
+    /** Wall time of the last completion that this node knows. */
     private completedAt: Milliseconds = -Infinity;
+    /** Wall time of the last completion that all nodes know. */
+    private reportedCompletionAt: Milliseconds = -Infinity;
     /** Monotonic start time of the last trial call. */
     trialStartedAt: Milliseconds | undefined;
-    /** Whether the fingerprint had completed recently on this node when the first of these crashes was reported. */
+    /** Whether the fingerprint had completed recently when the first of these crashes was reported. */
     hadRecentCompletion = false;
 
     /** Adds a crash. Returns `false` if it is known or the fingerprint completed after it. */
     addCrash(report: CrashReport, receivedAt: Milliseconds, wallTime: Milliseconds): boolean {
-        if (report.at <= this.completedAt || this.crashes.some(crash => isSameCrash(crash.report, report))) {
+        this.recordReportedCompletion(report.completedAt ?? -Infinity);
+        const isKnown = this.crashes.some(crash => isSameCrash(crash.report, report));
+        if (isKnown || report.at <= this.reportedCompletionAt) {
             return false;
         }
         this.crashes.push({ report, receivedAt, ageMs: Math.max(0, wallTime - report.at) });
         this.crashes.sort((left, right) => left.report.at - right.report.at);
         this.dropExcess();
-        return true;
+        return report.at > this.completedAt;
     }
 
     /**
@@ -54,6 +62,9 @@
      * target. Otherwise repeated crashes of one restarted target push out those of the other, and the hold with them.
      */
     private dropExcess(): void {
+        if (this.crashes.length > maxCrashReports && !this.isOpen(this.crashes[0] as ReceivedCrash)) {
+            this.crashes.shift();
+        }
         const [first] = this.crashes;
         while (first !== undefined && this.crashes.length > maxCrashReports) {
             const onOtherTarget = this.crashes.find(({ report }) =>
@@ -63,19 +74,25 @@
         }
     }
 
-    /** Drops the crashes before a completion. Returns `false` if this or a later completion is known. */
+    /** Records a completion on this node. Returns `false` if this or a later completion is known. */
     recordCompletion(at: Milliseconds): boolean {
         if (at <= this.completedAt) {
             return false;
         }
         this.completedAt = at;
-        this.crashes = this.crashes.filter(crash => crash.report.at > this.completedAt);
-        if (this.crashes.length === 0) {
+        if (!this.hasCrashes) {
             this.trialStartedAt = undefined;
         }
         return true;
     }
 
+    /** Records a completion that all nodes know. Returns `false` if this or a later completion is known. */
+    recordReportedCompletion(at: Milliseconds): boolean {
+        this.reportedCompletionAt = Math.max(this.reportedCompletionAt, at);
+        this.crashes = this.crashes.filter(crash => crash.report.at > this.reportedCompletionAt);
+        return this.recordCompletion(at);
+    }
+
     /** Drops all crashes if the newest report has expired. Returns whether it has. */
     expire(wallTime: Milliseconds): boolean {
         if (this.lastReportAt > wallTime - reportLifetimeMs) {
@@ -90,8 +107,9 @@
         return Math.max(this.completedAt, this.crashes.at(-1)?.report.at ?? -Infinity);
     }
 
+    /** Whether there are crashes after the last completion. */
     get hasCrashes(): boolean {
-        return this.crashes.length > 0;
+        return this.crashes.some(crash => this.isOpen(crash));
     }
 
     /** Whether the consecutive crashes start a hold. */
@@ -99,6 +117,15 @@
         return this.findHoldStart(this.findConsecutiveCrashes()) !== undefined;
     }
 
+    /**
+     * Wall time of a completion without which the crashes start a hold, and which is known to this node only;
+     * `undefined` if there is none.
+     */
+    get unreportedCompletionAt(): Milliseconds | undefined {
+        const isHeldElsewhere = this.findHoldStart(findConsecutiveCrashes(this.crashes)) !== undefined;
+        return isHeldElsewhere && !this.isHeld ? this.completedAt : undefined;
+    }
+
     /** Number of consecutive crashes after the one that started the hold. */
     get failedTrials(): number {
         const chain = this.findConsecutiveCrashes();
@@ -114,7 +141,7 @@
 
     /** Whether the node had a call in flight at one of the crashes. */
     wasObservedBy(node: string): boolean {
-        return this.crashes.some(crash => crash.report.node === node);
+        return this.crashes.some(crash => this.isOpen(crash) && crash.report.node === node);
     }
 
     /** Index of the consecutive crash that starts the hold. */
@@ -124,20 +151,28 @@
         return index < 0 ? undefined : index;
     }
 
-    /**
-     * Consecutive crashes: the call of each one started after the previous crash. Targets that fail together, for
-     * example with their rack, count once, because none of their calls was sent again after the first crash.
-     */
     private findConsecutiveCrashes(): readonly ReceivedCrash[] {
-        const chain: ReceivedCrash[] = [];
-        for (const crash of this.crashes) {
-            const last = chain.at(-1);
-            if (last === undefined || crash.report.startedAt >= last.report.at) {
-                chain.push(crash);
-            }
+        return findConsecutiveCrashes(this.crashes.filter(crash => this.isOpen(crash)));
+    }
+
+    private isOpen({ report }: ReceivedCrash): boolean {
+        return report.at > this.completedAt;
+    }
+}
+
+/**
+ * Consecutive crashes: the call of each one started after the previous crash. Targets that fail together, for example
+ * with their rack, count once, because none of their calls was sent again after the first crash.
+ */
+function findConsecutiveCrashes(crashes: readonly ReceivedCrash[]): readonly ReceivedCrash[] {
+    const chain: ReceivedCrash[] = [];
+    for (const crash of crashes) {
+        const last = chain.at(-1);
+        if (last === undefined || crash.report.startedAt >= last.report.at) {
+            chain.push(crash);
         }
-        return chain;
     }
+    return chain;
 }
 
 /** Whether two reports describe one crash: their calls were in flight on the same target at the same time. */
--- a/coordination/quarantine/src/quarantine.ts
+++ b/coordination/quarantine/src/quarantine.ts
@@ -3,6 +3,10 @@
  * nodes. A fingerprint whose calls crash two targets consecutively, or one target three times, is held: its calls are
  * refused until the hold ends, and then one trial call is sent. A request that crashes its targets never completes. Any
  * other request completes at some point, and the completion report ends its hold on all nodes.
+ *
+ * Nodes that exchange reports with `reportsToShare` share each completion after a crash. Nodes whose reports are kept
+ * in a store write few of them: a crash report names the last completion before it, which clears the crashes before
+ * that, and `completionsToReport` returns only completions without which other nodes hold the fingerprint.
  */
 import { createHash } from "node:crypto";
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
@@ -10,6 +14,7 @@
 import { computeFingerprint, type RequestIdentity } from "./fingerprint";
 import { initialHoldMs, maxHoldMs, reportLifetimeMs, CrashHistory } from "./crashHistory";
 import {
+    type CompletionReport,
     type CrashReport,
     type QuarantineDecision,
     QuarantineDecisionKind,
@@ -56,6 +61,8 @@
     private readonly histories = new Map<string, CrashHistory>();
     /** Wall time of the last completion by fingerprint, in LRU order with the most recent last. */
     private readonly completions = new Map<string, Milliseconds>();
+    /** Monotonic time since which other nodes may hold a fingerprint without a completion of this node. */
+    private readonly unreportedSince = new Map<string, Milliseconds>();
     private queue: QueuedReport[] = [];
 
     constructor(options: QuarantineOptions) {
@@ -83,13 +90,16 @@
         return { kind: QuarantineDecisionKind.Trial };
     }
 
-    /** Records a crash report for each call that this node had in flight on a crashed target. */
-    recordTargetCrash({ target, inFlight, at }: TargetCrash): void {
-        for (const { fingerprint, ageMs } of inFlight) {
+    /** Records and returns a crash report for each call that this node had in flight on a crashed target. */
+    recordTargetCrash({ target, inFlight, at }: TargetCrash): readonly CrashReport[] {
+        return inFlight.map(({ fingerprint, ageMs }) => {
             const startedAt = at - ageMs;
+            const completedAt = this.findCompletionBefore(fingerprint, at);
             const kind = QuarantineReportKind.Crash;
-            this.recordReport({ kind, fingerprint, target, at, startedAt, node: this.node });
-        }
+            const report = { kind, fingerprint, target, at, startedAt, node: this.node, completedAt } as const;
+            this.recordReport(report);
+            return report;
+        });
     }
 
     /** Records that a target's response to a call was received completely. */
@@ -97,8 +107,10 @@
         this.completions.delete(fingerprint);
         this.completions.set(fingerprint, this.clock.wallTime());
         evictOldest(this.completions, maxCompletions);
-        if (this.histories.get(fingerprint)?.hasCrashes === true) {
-            this.recordReport({ kind: QuarantineReportKind.Completion, fingerprint, at: this.clock.wallTime() });
+        const history = this.histories.get(fingerprint);
+        if (history?.hasCrashes === true) {
+            const kind = QuarantineReportKind.Completion;
+            this.recordOwnCompletion(history, { kind, fingerprint, at: this.clock.wallTime() });
         }
     }
 
@@ -116,37 +128,85 @@
             .forEach(report => this.recordReport(report));
     }
 
+    /**
+     * Completions that this node should report now, because other nodes hold the fingerprint without them. Several
+     * nodes may know one; each waits for its own part of `spreadMs`, and the first report makes the others needless.
+     */
+    completionsToReport(spreadMs: Milliseconds): readonly CompletionReport[] {
+        const now = this.clock.now();
+        const due: CompletionReport[] = [];
+        for (const [fingerprint, since] of this.unreportedSince) {
+            const at = this.histories.get(fingerprint)?.unreportedCompletionAt;
+            if (at === undefined) {
+                this.unreportedSince.delete(fingerprint);
+            }
+            else if (now - since >= this.spreadFraction(fingerprint) * spreadMs) {
+                due.push({ kind: QuarantineReportKind.Completion, fingerprint, at });
+            }
+        }
+        this.mergeReports(due);
+        return due;
+    }
+
     private recordReport(report: QuarantineReport): void {
         if (this.applyReport(report)) {
-            this.queue.push({ report, until: this.clock.now() + reportSharingMs });
-            this.queue = this.queue.slice(-maxQueuedReports);
+            this.enqueue(report);
         }
     }
 
+    private enqueue(report: QuarantineReport): void {
+        this.queue.push({ report, until: this.clock.now() + reportSharingMs });
+        this.queue = this.queue.slice(-maxQueuedReports);
+    }
+
     private applyReport(report: QuarantineReport): boolean {
         const history = this.histories.get(report.fingerprint) ?? this.addHistory(report.fingerprint);
         switch (report.kind) {
             case QuarantineReportKind.Crash: {
+                const { fingerprint, at, completedAt = -Infinity } = report;
                 if (!history.hasCrashes) {
-                    history.hadRecentCompletion = this.hasCompletedRecently(report.fingerprint);
+                    history.hadRecentCompletion = this.hasCompletedRecently(fingerprint);
                 }
+                history.hadRecentCompletion ||= at - completedAt < completionLifetimeMs;
                 const added = history.addCrash(report, this.clock.now(), this.clock.wallTime());
-                this.reportLaterCompletion(report);
+                this.recordLaterCompletion(history, report);
+                this.noteUnreported(history, fingerprint);
                 return added;
             }
             case QuarantineReportKind.Completion:
-                return history.recordCompletion(report.at);
+                return history.recordReportedCompletion(report.at);
             default:
                 return assertNever(report);
         }
     }
 
-    /** Shares a completion on this node that is later than a crash whose report arrives only now. */
-    private reportLaterCompletion(crash: CrashReport): void {
-        const at = this.completions.get(crash.fingerprint) ?? -Infinity;
-        if (at > crash.at) {
-            this.recordReport({ kind: QuarantineReportKind.Completion, fingerprint: crash.fingerprint, at });
+    /** Records a completion on this node that is later than a crash whose report arrives only now. */
+    private recordLaterCompletion(history: CrashHistory, { fingerprint, at: crashedAt }: CrashReport): void {
+        const at = this.completions.get(fingerprint) ?? -Infinity;
+        if (at > crashedAt) {
+            this.recordOwnCompletion(history, { kind: QuarantineReportKind.Completion, fingerprint, at });
+        }
+    }
+
+    private recordOwnCompletion(history: CrashHistory, report: CompletionReport): void {
+        if (history.recordCompletion(report.at)) {
+            this.enqueue(report);
         }
+        this.noteUnreported(history, report.fingerprint);
+    }
+
+    private noteUnreported(history: CrashHistory, fingerprint: string): void {
+        if (history.unreportedCompletionAt !== undefined && !this.unreportedSince.has(fingerprint)) {
+            this.unreportedSince.set(fingerprint, this.clock.now());
+        }
+    }
+
+    /** Last completion that this node knows from before the time; `undefined` if there is none or it is too old. */
+    private findCompletionBefore(fingerprint: string, at: Milliseconds): Milliseconds | undefined {
+        const completedAt = this.completions.get(fingerprint);
+        return completedAt !== undefined && completedAt < at && at - completedAt < completionLifetimeMs
+            ? completedAt
+            : undefined;
     }
 
     private hasCompletedRecently(fingerprint: string): boolean {
--- a/coordination/quarantine/src/types.ts
+++ b/coordination/quarantine/src/types.ts
@@ -48,6 +48,8 @@
     readonly startedAt: Milliseconds;
     /** Node that had the call in flight. */
     readonly node: string;
+    /** Wall time of the last completion that this node knew at the crash; `undefined` if it knew none. */
+    readonly completedAt?: Milliseconds | undefined;
 }
 
 /** A call with the fingerprint completed. This invalidates all earlier crash reports. */
--- a/coordination/quarantine/test/quarantine.test.ts
+++ b/coordination/quarantine/test/quarantine.test.ts
@@ -1,6 +1,12 @@
 import { describe, expect, it } from "vitest";
 import { ManualClock } from "@bilberrycroft/core.clock";
-import { maxFingerprints, maxReportsPerExchange, Quarantine, QuarantineDecisionKind as Kind } from "@bilberrycroft/coordination.quarantine";
+import {
+    maxFingerprints,
+    maxReportsPerExchange,
+    Quarantine,
+    QuarantineDecisionKind as Kind,
+    QuarantineReportKind,
+} from "@bilberrycroft/coordination.quarantine";
 
 const minute = 60_000;
 
@@ -228,6 +234,96 @@
         });
     });
 
+    // Guards against ordinary requests that are refused by nodes which know the crashes only, as restarted ones do.
+    describe("crash reports that name the last completion before the crash", () => {
+        /** Reports of crashes of three targets, between which an equal call completed elsewhere. */
+        const createReports = () => {
+            const { clock, one, two, crash } = createNodes();
+            const reports = ["a", "b", "c"].flatMap(target => {
+                two.recordCompletion("bad");
+                clock.advance(1_000);
+                crash(target, ["bad"], { by: two });
+                return two.reportsToShare().filter(report => "target" in report && report.target === target);
+            });
+            return { clock, one, reports };
+        };
+
+        it("start no hold, in whatever order they arrive", () => {
+            for (const order of [[0, 1, 2], [0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]]) {
+                const { one, reports } = createReports();
+                one.mergeReports(order.flatMap(index => reports[index] ?? []));
+                expect(one.check("bad").kind).toBe(Kind.Allowed);
+            }
+        });
+
+        it("start a hold without the completions, as those of a request that crashes its targets", () => {
+            const { one, reports } = createReports();
+            one.mergeReports(reports.map(report => ({ ...report, completedAt: undefined })));
+            expect(one.check("bad").kind).toBe(Kind.Held);
+        });
+
+        it("shorten the first hold after crashes without a completion between them", () => {
+            const { clock, one, two, crash, timeToTrial } = createNodes();
+            two.recordCompletion("bad");
+            clock.advance(100);
+            crash("a", ["bad"], { by: two });
+            crash("b", ["bad"], { by: two });
+            one.mergeReports(two.reportsToShare().filter(report => "target" in report));
+            expect(one.check("bad").kind).toBe(Kind.Held);
+            expect(timeToTrial()).toBeLessThanOrEqual(3_000);
+        });
+
+        it("name none that is 10 min old", () => {
+            const { clock, one, crash } = createNodes();
+            one.recordCompletion("bad");
+            clock.advance(10 * minute);
+            crash("a");
+            expect(one.reportsToShare()[0]).toMatchObject({ target: "a", completedAt: undefined });
+        });
+    });
+
+    describe("completions to report", () => {
+        /** Two crashes that one observes, and a completion between them that only two knows. */
+        const createCrashes = () => {
+            const nodes = createNodes();
+            const { clock, one, two, crash } = nodes;
+            const learnCrash = (target: string) => {
+                crash(target);
+                two.mergeReports(one.reportsToShare().filter(report => "target" in report));
+            };
+            learnCrash("a");
+            clock.advance(10);
+            two.recordCompletion("bad");
+            return { ...nodes, learnCrash };
+        };
+
+        it("are none while no node holds the fingerprint, so that single crashes cost no writes", () => {
+            const { two } = createCrashes();
+            expect(two.completionsToReport(0)).toEqual([]);
+        });
+
+        it("end the hold of a node that knows the crashes only, and are returned once", () => {
+            const { one, two, learnCrash, kindOf } = createCrashes();
+            learnCrash("b");
+            expect([kindOf("bad", one), kindOf("bad", two)]).toEqual([Kind.Held, Kind.Allowed]);
+            const reports = two.completionsToReport(0);
+            expect(reports).toMatchObject([{ fingerprint: "bad" }]);
+            expect(two.completionsToReport(0)).toEqual([]);
+            one.mergeReports(reports);
+            expect(kindOf("bad", one)).toBe(Kind.Allowed);
+        });
+
+        it("are spread over time, and needless once another node has reported one", () => {
+            const { clock, two, learnCrash } = createCrashes();
+            learnCrash("b");
+            expect(two.completionsToReport(minute)).toEqual([]);
+            const at = clock.wallTime() - 50;
+            two.mergeReports([{ kind: QuarantineReportKind.Completion, fingerprint: "bad", at }]);
+            clock.advance(minute);
+            expect(two.completionsToReport(minute)).toEqual([]);
+        });
+    });
+
     describe("reports", () => {
         it("combine crashes that different nodes observed, because a caller may retry through any node", () => {
             const { one, two, crash, exchange, kindOf } = createNodes();
--- a/daemons/sidecar/src/calls/callerCall.ts
+++ b/daemons/sidecar/src/calls/callerCall.ts
@@ -15,6 +15,7 @@
 import type { AcceptedCall, AttemptState, CallEnd, CallerServices } from "./callerCallTypes";
 import type { IncomingResponse } from "./incomingResponse";
 import { limitRetryAfter, sendLocalResponse } from "./localResponses";
+import { firstServerErrorStatus } from "./statuses";
 import { UndeliveredResponses } from "./undeliveredResponses";
 
 export class CallerCall {
@@ -427,8 +428,6 @@
     }
 }
 
-const firstServerErrorStatus = 500;
-
 function endWithoutResponse(outcome: CallOutcome, reason: CallReason | undefined): Omit<CallEnd, "attempts"> {
     return { outcome, reason, status: undefined, target: undefined, responseBytes: 0 };
 }
--- a/daemons/sidecar/src/calls/targetCall.ts
+++ b/daemons/sidecar/src/calls/targetCall.ts
@@ -18,6 +18,7 @@
 } from "@bilberrycroft/transport.calls";
 import { copyHeaders, type IncomingOffer } from "@bilberrycroft/transport.forwarding";
 import type { CallHeaderCodec, TargetResponseHead } from "../ports";
+import { firstServerErrorStatus } from "./statuses";
 
 /** Dependencies shared by all calls to the target. */
 export interface TargetServices {
@@ -61,7 +62,6 @@
 
 type ResponseEvent = Extract<AttemptEvent, { kind: AttemptEventKind.Responded }>;
 
-const firstServerErrorStatus = 500;
 const firstSuccessStatus = 200;
 const firstRedirectStatus = 300;
 
--- a/daemons/sidecar/src/nodeTable.ts
+++ b/daemons/sidecar/src/nodeTable.ts
@@ -1,4 +1,6 @@
+import { isDeepStrictEqual } from "node:util";
 import {
+    type AnnouncedCompletion,
     type AnnouncedCrash,
     isRolloutPlanName,
     type NodeEntry,
@@ -14,14 +16,21 @@
 export interface NodeTableChange {
     /** All valid entries. */
     readonly entries: readonly NodeEntry[];
-    /** Crashes that an entry reports for the first time, by node. */
-    readonly crashes: readonly { readonly node: string; readonly crashes: readonly AnnouncedCrash[] }[];
+    /** Crashes and completions that an entry reports for the first time. */
+    readonly reports: readonly EntryReports[];
     /** Names of changed objects that are not valid entries. */
     readonly malformed: readonly string[];
     /** Plans of rollouts, which are objects of the same collection. */
     readonly plans: readonly StoredPlan[];
 }
 
+/** What a node reports of requests that were in flight at crashes. */
+export interface EntryReports {
+    readonly node: string;
+    readonly crashes: readonly AnnouncedCrash[];
+    readonly completions: readonly AnnouncedCompletion[];
+}
+
 /** A plan with the revision on which the next write depends. */
 export interface StoredPlan {
     readonly plan: RolloutPlan;
@@ -61,7 +70,7 @@
     update(objects: ReadonlyMap<string, CollectionObject>): NodeTableChange {
         const previous = this.parsedEntries;
         const parsedEntries = new Map<string, ParsedEntry>();
-        const crashes: { node: string; crashes: AnnouncedCrash[] }[] = [];
+        const reports: EntryReports[] = [];
         const malformed: string[] = [];
         for (const [name, object] of objects) {
             const existing = previous.get(name);
@@ -85,14 +94,16 @@
             }
             const newCrashes = entry.crashes.filter(crash => !existing?.entry?.crashes.some(({ at, fingerprint }) =>
                 at === crash.at && fingerprint === crash.fingerprint));
-            if (newCrashes.length > 0) {
-                crashes.push({ node: name, crashes: newCrashes });
+            const newCompletions = (entry.completions ?? []).filter(completion =>
+                !existing?.entry?.completions?.some(known => isDeepStrictEqual(known, completion)));
+            if (newCrashes.length + newCompletions.length > 0) {
+                reports.push({ node: name, crashes: newCrashes, completions: newCompletions });
             }
         }
         this.parsedEntries = parsedEntries;
         const entries = [...parsedEntries.values()].flatMap(({ entry }) => entry === undefined ? [] : [entry]);
         const plans = [...parsedEntries.values()].flatMap(({ object: { revision }, plan }) =>
             plan === undefined ? [] : [{ plan, revision }]);
-        return { entries, crashes, malformed, plans };
+        return { entries, reports, malformed, plans };
     }
 }
--- a/daemons/sidecar/src/sidecar.ts
+++ b/daemons/sidecar/src/sidecar.ts
@@ -5,13 +5,12 @@
 import { randomInt } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
 import { BufferBudget } from "@bilberrycroft/coordination.forwarding";
-import { QuarantineReportKind } from "@bilberrycroft/coordination.quarantine";
 import { SourceSelection } from "@bilberrycroft/coordination.relay";
 import { LocalTarget, type TargetDeparture, type TargetHeartbeat } from "@bilberrycroft/coordination.registration";
 import { type Clock, type Milliseconds, SystemClock } from "@bilberrycroft/core.clock";
 import { type EventLog, FaultBarrier } from "@bilberrycroft/core.eventLog";
 import { createSeededRandom, type Random } from "@bilberrycroft/core.random";
-import type { AnnouncedCrash, CallExplanation, StateVersions } from "@bilberrycroft/protocol.forwarding";
+import type { CallExplanation, StateVersions } from "@bilberrycroft/protocol.forwarding";
 import { describePosition } from "@bilberrycroft/protocol.store";
 import {
     limitConnections,
@@ -42,6 +41,7 @@
 import type { CollectionContent, CollectionTask } from "./tasks/collectionTask";
 import { ConfigurationTask } from "./tasks/configurationTask";
 import { ProbeTask } from "./tasks/probeTask";
+import { QuarantineTask } from "./tasks/quarantineTask";
 import { declineAllowances, QuotaTask } from "./tasks/quotaTask";
 import { RegistrationTask } from "./tasks/registrationTask";
 import { RelayTask } from "./tasks/relayTask";
@@ -86,6 +86,7 @@
     private readonly configurationTask: ConfigurationTask;
     private readonly registrationTask: RegistrationTask;
     private readonly callerTask: CallerTask;
+    private readonly quarantineTask: QuarantineTask;
     private readonly targetTask: TargetTask;
     private readonly probeTask: ProbeTask;
     private readonly relayTask: RelayTask;
@@ -138,8 +139,9 @@
             collection: platform.nodes,
             clock,
             log,
-            handleRestoredCrashes: crashes => this.learnCrashes(settings.node, crashes),
+            handleRestoredReports: reports => this.quarantineTask.learn({ node: settings.node, ...reports }),
         });
+        this.quarantineTask = this.createQuarantineTask();
         this.targetTask = this.createTargetTask(localTarget);
         this.quotaTask = this.createQuotaTask();
         this.callerTask = this.createCallerTask();
@@ -198,6 +200,7 @@
             getContent: request => this.relayTask.getContent(request),
         });
         this.targetTask.start();
+        this.quarantineTask.start();
         this.relayTask.start();
         this.configurationCollection.start();
         this.nodeCollection.start();
@@ -299,7 +302,18 @@
             getLocalVersions: () => this.getLocalVersions(),
             handlePeerVersions: versions => this.handlePeerVersions(versions),
             handleTargetLeaving: departure => void this.registrationTask.handleDeparture(departure),
-            handleTargetCrash: crashes => this.handleTargetCrash(crashes),
+            handleTargetCrash: crashes => this.quarantineTask.handleTargetCrash(crashes),
+        });
+    }
+
+    private createQuarantineTask(): QuarantineTask {
+        const { faults, decisions: { quarantine, directory }, options: { log } } = this;
+        return new QuarantineTask({
+            quarantine,
+            log,
+            faults,
+            countNodes: () => directory.size,
+            publish: reports => this.registrationTask.addReports(reports),
         });
     }
 
@@ -357,10 +371,10 @@
     }
 
     private applyNodeEntries({ objects }: CollectionContent): void {
-        const { entries, crashes, malformed, plans } = this.nodeTable.update(objects);
+        const { entries, reports, malformed, plans } = this.nodeTable.update(objects);
         malformed.forEach(name => this.options.log.warn("entry-malformed", { name }));
-        crashes.filter(({ node }) => node !== this.options.settings.node)
-            .forEach(({ node, crashes: added }) => this.learnCrashes(node, added));
+        reports.filter(({ node }) => node !== this.options.settings.node)
+            .forEach(report => this.quarantineTask.learn(report));
         if (this.rolloutTask !== undefined) {
             this.plans = plans;
             const { service } = this.options.settings;
@@ -377,22 +391,6 @@
         this.options.log.info("nodes-changed", { nodes: entries.length, revision });
     }
 
-    private learnCrashes(node: string, crashes: readonly AnnouncedCrash[]): void {
-        const reports = crashes.map(crash => ({ kind: QuarantineReportKind.Crash, node, ...crash }) as const);
-        this.decisions.quarantine.mergeReports(reports);
-        for (const { fingerprint, target, at } of crashes) {
-            this.options.log.info("crashes-learned", { from: node, fingerprint, target, at });
-        }
-    }
-
-    private handleTargetCrash(crashes: readonly AnnouncedCrash[]): void {
-        for (const { target, at, fingerprint, startedAt } of crashes) {
-            const ageMs = Math.max(0, at - startedAt);
-            this.decisions.quarantine.recordTargetCrash({ target, at, inFlight: [{ fingerprint, ageMs }] });
-        }
-        this.registrationTask.addCrashes(crashes);
-    }
-
     private getLocalVersions(): StateVersions {
         return {
             configurationVersion: this.configurationTask.current?.version ?? 0,
@@ -437,6 +435,7 @@
         this.relayTask.stop();
         this.rolloutTask?.stop();
         this.targetTask.stop();
+        this.quarantineTask.stop();
         this.probeTask.stop();
         this.quotaTask?.stop();
         this.peerClient.close();
--- a/daemons/sidecar/src/tasks/callerTask.ts
+++ b/daemons/sidecar/src/tasks/callerTask.ts
@@ -26,6 +26,7 @@
 import { type CallQuestion, explainCall } from "../callExplanation";
 import type { AcceptedCall, CallEnd, CallerServices } from "../calls/callerCallTypes";
 import { bodyTooLargeStatus, limitRetryAfter, sendLocalResponse } from "../calls/localResponses";
+import { firstServerErrorStatus } from "../calls/statuses";
 import type { CallMetrics } from "../metrics";
 import type { CallerHead } from "../ports";
 
@@ -346,6 +347,9 @@
         if (end.outcome === CallOutcome.Done) {
             this.latencies.latenciesOf(call.route).record(latencyMs);
             this.responseSizes.add(call.route, end.responseBytes);
+            if (end.status !== undefined && end.status < firstServerErrorStatus) {
+                this.options.quarantine.recordCompletion(call.offer.fingerprint);
+            }
         }
         const fields = {
             call: call.callId,
--- a/daemons/sidecar/src/tasks/registrationTask.ts
+++ b/daemons/sidecar/src/tasks/registrationTask.ts
@@ -14,8 +14,10 @@
 import { assertNever } from "@bilberrycroft/core.errors";
 import type { EventLog } from "@bilberrycroft/core.eventLog";
 import {
+    type AnnouncedCompletion,
     type AnnouncedCrash,
     type AnnouncedTarget,
+    maxCompletions,
     maxCrashes,
     type NodeEntry,
     parseNodeEntry,
@@ -40,8 +42,14 @@
     readonly collection: ObjectCollection;
     readonly clock: Clock;
     readonly log: EventLog;
-    /** Called with crashes that a previous process of this node has published. */
-    handleRestoredCrashes(crashes: readonly AnnouncedCrash[]): void;
+    /** Called with what a previous process of this node has published. */
+    handleRestoredReports(reports: CrashReports): void;
+}
+
+/** Crashes and completions that this node publishes, for the quarantine of other nodes and of its next process. */
+export interface CrashReports {
+    readonly crashes: readonly AnnouncedCrash[];
+    readonly completions: readonly AnnouncedCompletion[];
 }
 
 /**
@@ -54,7 +62,7 @@
     /** Emits after each change of the target's state. */
     readonly changes = new Subject<void>();
     private readonly entry = new LocalEntry();
-    private crashes: AnnouncedCrash[] = [];
+    private reports: CrashReports = { crashes: [], completions: [] };
     private hasContent = false;
     /** Whether this process has written the entry. Until then, the stored one is that of a previous process. */
     private hasWritten = false;
@@ -94,9 +102,12 @@
         }
     }
 
-    /** Publishes requests that were in flight when the target crashed, for the quarantine of other nodes. */
-    addCrashes(crashes: readonly AnnouncedCrash[]): void {
-        this.crashes = [...this.crashes, ...crashes].slice(-maxCrashes);
+    /** Publishes reports. */
+    addReports({ crashes = [], completions = [] }: Partial<CrashReports>): void {
+        this.reports = {
+            crashes: [...this.reports.crashes, ...crashes].slice(-maxCrashes),
+            completions: [...this.reports.completions, ...completions].slice(-maxCompletions),
+        };
         void this.updateEntry();
     }
 
@@ -142,7 +153,7 @@
         if (entry?.target !== undefined) {
             this.restoreTarget(entry.target);
         }
-        this.restoreCrashes(entry?.crashes ?? []);
+        this.restoreReports({ crashes: entry?.crashes ?? [], completions: entry?.completions ?? [] });
     }
 
     private restoreTarget(announced: AnnouncedTarget): void {
@@ -153,12 +164,16 @@
         }
     }
 
-    /** Keeps the published crashes, because this process replaces the entry that holds them. */
-    private restoreCrashes(stored: readonly AnnouncedCrash[]): void {
-        const missing = stored.filter(crash => !this.crashes.some(known => isDeepStrictEqual(known, crash)));
-        if (missing.length > 0) {
-            this.crashes = [...missing, ...this.crashes].slice(-maxCrashes);
-            this.options.handleRestoredCrashes(missing);
+    /** Keeps the published reports, because this process replaces the entry that holds them. */
+    private restoreReports(stored: CrashReports): void {
+        const crashes = findMissing(stored.crashes, this.reports.crashes);
+        const completions = findMissing(stored.completions, this.reports.completions);
+        if (crashes.length + completions.length > 0) {
+            this.reports = {
+                crashes: [...crashes, ...this.reports.crashes].slice(-maxCrashes),
+                completions: [...completions, ...this.reports.completions].slice(-maxCompletions),
+            };
+            this.options.handleRestoredReports({ crashes, completions });
         }
     }
 
@@ -199,7 +214,9 @@
     private setDesiredEntry(): void {
         const { node, zone, offerAddress: address, processors, target } = this.options;
         if (target.announced !== undefined) {
-            this.entry.setDesired({ node, zone, address, processors, target: target.announced, crashes: this.crashes });
+            const { crashes, completions } = this.reports;
+            const entry = { node, zone, address, processors, target: target.announced, crashes };
+            this.entry.setDesired(completions.length === 0 ? entry : { ...entry, completions });
         }
     }
 
@@ -232,3 +249,7 @@
         }
     }
 }
+
+function findMissing<Report>(stored: readonly Report[], known: readonly Report[]): readonly Report[] {
+    return stored.filter(report => !known.some(other => isDeepStrictEqual(other, report)));
+}
--- a/daemons/sidecar/test/registrationTask.test.ts
+++ b/daemons/sidecar/test/registrationTask.test.ts
@@ -34,7 +34,7 @@
             collection,
             clock,
             log: new EventLog({ clock, common: {}, linesPerSecond: 100, sink: { write: () => true } }),
-            handleRestoredCrashes: () => undefined,
+            handleRestoredReports: () => undefined,
         });
     });
     afterEach(() => task.stop());
--- a/protocol/control/src/schemas.ts
+++ b/protocol/control/src/schemas.ts
@@ -111,6 +111,7 @@
         at: timeSchema,
         startedAt: timeSchema,
         node: nameSchema,
+        completedAt: timeSchema.optional(),
     }),
     z.object({ kind: z.literal(QuarantineReportKind.Completion), fingerprint: nameSchema, at: timeSchema }),
 ]);
--- a/protocol/forwarding/src/targetEntry.ts
+++ b/protocol/forwarding/src/targetEntry.ts
@@ -34,6 +34,15 @@
     readonly at: Milliseconds;
     /** Start of the call, in milliseconds since the epoch. */
     readonly startedAt: Milliseconds;
+    /** Last completion of an equal request before the crash, in milliseconds since the epoch, if the node knew one. */
+    readonly completedAt?: Milliseconds | undefined;
+}
+
+/** A completion of a request that other nodes would refuse because of crashes. */
+export interface AnnouncedCompletion {
+    readonly fingerprint: string;
+    /** Time of the completion, in milliseconds since the epoch. */
+    readonly at: Milliseconds;
 }
 
 export interface NodeEntry {
@@ -46,17 +55,19 @@
     /** `undefined` while the node has no usable target. */
     readonly target: AnnouncedTarget | undefined;
     readonly crashes: readonly AnnouncedCrash[];
+    /** Omitted from the stored entry if there are none. */
+    readonly completions?: readonly AnnouncedCompletion[];
 }
 
 /**
  * Parses an entry written by another process; `undefined` if a required field is missing or has the wrong type.
- * Malformed crashes are skipped.
+ * Malformed crashes and completions are skipped.
  */
 export function parseNodeEntry(value: unknown): NodeEntry | undefined {
     if (!isRecord(value)) {
         return undefined;
     }
-    const { node, zone, address, processors = defaultProcessors, target, crashes } = value;
+    const { node, zone, address, processors = defaultProcessors, target, crashes, completions } = value;
     if (!isLabel(node) || !isLabel(zone) || !isLabel(address) || !isSocketAddress(address)
         || !isNumber(processors) || processors <= 0 || processors > maxProcessors) {
         return undefined;
@@ -66,11 +77,17 @@
         return undefined;
     }
     const parsedCrashes = Array.isArray(crashes) ? crashes.slice(0, maxCrashes).flatMap(parseCrash) : [];
-    return { node, zone, address, processors, target: parsedTarget, crashes: parsedCrashes };
+    const parsedCompletions = Array.isArray(completions)
+        ? completions.slice(0, maxCompletions).flatMap(parseCompletion)
+        : [];
+    const entry = { node, zone, address, processors, target: parsedTarget, crashes: parsedCrashes };
+    return parsedCompletions.length === 0 ? entry : { ...entry, completions: parsedCompletions };
 }
 
 /** Maximum number of crashes in one entry; the newest is last. */
 export const maxCrashes = 32;
+/** Maximum number of completions in one entry; the newest is last. */
+export const maxCompletions = 32;
 /** Largest number of slots that a target may announce. */
 export const maxSlots = 100_000;
 /** Used for entries without `processors`. */
@@ -105,7 +122,19 @@
     if (!isRecord(value)) {
         return [];
     }
-    const { fingerprint, target, at, startedAt } = value;
+    const { fingerprint, target, at, startedAt, completedAt } = value;
     const isValid = isLabel(fingerprint) && isLabel(target) && isTime(at) && isTime(startedAt);
-    return isValid ? [{ fingerprint, target, at, startedAt }] : [];
+    if (!isValid) {
+        return [];
+    }
+    const crash = { fingerprint, target, at, startedAt };
+    return [isTime(completedAt) && completedAt < at ? { ...crash, completedAt } : crash];
+}
+
+function parseCompletion(value: unknown): AnnouncedCompletion[] {
+    if (!isRecord(value)) {
+        return [];
+    }
+    const { fingerprint, at } = value;
+    return isLabel(fingerprint) && isTime(at) ? [{ fingerprint, at }] : [];
 }
