Continue the bucket of a quota when its accounting node changes

Cause: each accounting node began with up to half of the reserve. The log shows five nodes responsible at the same time after the kill and six more in turn. Ruled out: lifetime of tokens (1.5 calls), equal parts (0.3 calls a second).

Change: the initial part is in proportion to the share of nodes that a node grants to. Grants name the tokens left in a low bucket; callers' nodes pass that on to the next accounting node, which counts what both granted against one bucket.

--- a/coordination/quotas/src/quotaAllowances.ts
+++ b/coordination/quotas/src/quotaAllowances.ts
@@ -7,7 +7,14 @@
  */
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
 import type { Random } from "@bilberrycroft/core.random";
-import type { AllowanceAsk, AllowanceGrant, AllowanceGrantKind, QuotaLimit } from "@bilberrycroft/protocol.forwarding";
+import type {
+    AllowanceAsk,
+    AllowanceGrant,
+    AllowanceGrantKind,
+    BucketState,
+    PreviousBucket,
+    QuotaLimit,
+} from "@bilberrycroft/protocol.forwarding";
 import { computeLongLifetimeMs, millisecondsPerSecond, type QuotaBound } from "./quotaBound";
 
 export enum QuotaDecisionKind {
@@ -39,6 +46,12 @@
     readonly countNodes: () => number;
 }
 
+/** The node that granted, and when it was asked. */
+export interface GrantOrigin {
+    readonly from: string;
+    readonly askedAt: Milliseconds;
+}
+
 export type AllowanceReply = Extract<AllowanceGrant, { kind: AllowanceGrantKind.Granted }>;
 
 export const admitted: QuotaDecision = { kind: QuotaDecisionKind.Admitted };
@@ -63,6 +76,14 @@
     readonly expiresAt: Milliseconds;
 }
 
+interface ReportedBucket {
+    readonly accountingNode: string;
+    readonly state: BucketState;
+    readonly reportedAt: Milliseconds;
+    /** A request has failed since, so that another process may have taken the place of the accounting node. */
+    isUncertain: boolean;
+}
+
 interface Allowance {
     limit: QuotaLimit;
     /** Lots in the order of their expiry. */
@@ -73,6 +94,8 @@
     roomAt: Milliseconds;
     /** The last request got no reply. */
     isUnanswered: boolean;
+    /** What the last grant said of the bucket. */
+    bucket: ReportedBucket | undefined;
     /** Calls that the equal part allows now. */
     equalPart: number;
     equalPartAt: Milliseconds;
@@ -173,24 +196,42 @@
         }
     }
 
-    /** Creates a request for the calls that wait; `undefined` if none waits and the allowance suffices. */
-    createAsk(organisation: string, waitingCalls: number): AllowanceAsk | undefined {
+    /** A request to the accounting node failed. */
+    markUncertain(organisation: string): void {
+        const { bucket } = this.allowances.get(organisation) ?? {};
+        if (bucket !== undefined) {
+            bucket.isUncertain = true;
+        }
+    }
+
+    /** Whether a request is needed: for calls that wait, or because the allowance does not suffice. */
+    needsAsk(organisation: string, waitingCalls: number): boolean {
         const allowance = this.allowances.get(organisation);
         if (allowance === undefined) {
-            return undefined;
+            return false;
         }
         const now = this.options.clock.now();
-        const demand = decayDemand(allowance, now);
-        const isNeeded = waitingCalls > 0 || allowance.isUnanswered || this.needsPrefetch(allowance, demand);
-        if (!isNeeded || now < allowance.pausedUntil) {
+        const isNeeded = waitingCalls > 0 || allowance.isUnanswered
+            || this.needsPrefetch(allowance, decayDemand(allowance, now));
+        return isNeeded && now >= allowance.pausedUntil;
+    }
+
+    /** Creates a request to an accounting node; `undefined` if none is needed. */
+    createAsk(organisation: string, waitingCalls: number, to: string): AllowanceAsk | undefined {
+        const allowance = this.allowances.get(organisation);
+        if (allowance === undefined || !this.needsAsk(organisation, waitingCalls)) {
             return undefined;
         }
+        const demand = decayDemand(allowance, this.options.clock.now());
         const returned = this.giveUpExpiring(allowance);
-        return { organisation, tokens: waitingCalls, demand, returned, limit: allowance.limit };
+        const previous = this.describePrevious(allowance, to);
+        const ask = { organisation, tokens: waitingCalls, demand, returned, limit: allowance.limit };
+        return previous === undefined ? ask : { ...ask, previous };
     }
 
     /** Applies the reply to a request that was sent at `askedAt`. */
-    handleGrant({ organisation, tokens, validMs, pauseMs, retryAfterMs }: AllowanceReply, askedAt: Milliseconds): void {
+    handleGrant(grant: AllowanceReply, { from, askedAt }: GrantOrigin): void {
+        const { organisation, tokens, validMs, pauseMs, retryAfterMs, bucket } = grant;
         const allowance = this.allowances.get(organisation);
         if (allowance === undefined) {
             return;
@@ -198,6 +239,9 @@
         const now = this.options.clock.now();
         const expiresAt = askedAt + Math.min(validMs, this.longLifetimeMs);
         allowance.isUnanswered = false;
+        allowance.bucket = bucket === undefined
+            ? undefined
+            : { accountingNode: from, state: bucket, reportedAt: now, isUncertain: false };
         if (tokens > 0 && expiresAt > now) {
             allowance.lots.push({ tokens, askedAt, expiresAt });
             allowance.lots.sort((left, right) => left.expiresAt - right.expiresAt);
@@ -217,12 +261,21 @@
             pausedUntil: Number.NEGATIVE_INFINITY,
             roomAt: Number.NEGATIVE_INFINITY,
             isUnanswered: false,
+            bucket: undefined,
             // A random level makes many nodes with a part of much less than one call admit the right number together.
             equalPart: this.options.random.nextFraction(),
             equalPartAt: this.options.clock.now(),
         };
     }
 
+    private describePrevious({ bucket }: Allowance, to: string): PreviousBucket | undefined {
+        if (bucket === undefined || (bucket.accountingNode === to && !bucket.isUncertain)) {
+            return undefined;
+        }
+        const ageMs = Math.round(this.options.clock.now() - bucket.reportedAt);
+        return ageMs > this.options.bound.windowMs ? undefined : { ...bucket.state, ageMs };
+    }
+
     private takeToken(allowance: Allowance): boolean {
         if (this.countTokens(allowance) === 0) {
             return false;
--- a/coordination/quotas/src/quotaBound.ts
+++ b/coordination/quotas/src/quotaBound.ts
@@ -57,7 +57,13 @@
  */
 export function computeInitialTokens(limit: QuotaLimit, bound: QuotaBound, share: number): number {
     const handoverCalls = share * limit.callsPerSecond * handoverMs / millisecondsPerSecond;
-    const reserve = computeReserve(limit, bound);
-    const spare = initialReserveShare * reserve - handoverCalls;
-    return spare > 0 ? Math.min(spare, computeCapacity(limit, bound)) : Math.min(0, reserve - handoverCalls);
+    const spare = share * computeMaxInitialTokens(limit, bound) - handoverCalls;
+    return spare > 0
+        ? Math.min(spare, computeCapacity(limit, bound))
+        : Math.min(0, computeReserve(limit, bound) - handoverCalls);
+}
+
+/** Most tokens with which the bucket of any new accounting node begins. */
+export function computeMaxInitialTokens(limit: QuotaLimit, bound: QuotaBound): number {
+    return initialReserveShare * computeReserve(limit, bound);
 }
--- a/coordination/quotas/src/quotaLedger.ts
+++ b/coordination/quotas/src/quotaLedger.ts
@@ -6,12 +6,19 @@
  * begins anew after a gap in its own activity.
  */
 import type { Clock, Milliseconds } from "@bilberrycroft/core.clock";
-import { type AllowanceAsk, maxTokensPerGrant, type QuotaLimit } from "@bilberrycroft/protocol.forwarding";
+import {
+    type AllowanceAsk,
+    type BucketState,
+    maxTokensPerGrant,
+    type PreviousBucket,
+    type QuotaLimit,
+} from "@bilberrycroft/protocol.forwarding";
 import {
     computeCapacity,
     computeInitialTokens,
     computeLifetimeMs,
     computeLongLifetimeMs,
+    computeMaxInitialTokens,
     computeReserve,
     millisecondsPerSecond,
     type QuotaBound,
@@ -30,6 +37,8 @@
     readonly validMs: Milliseconds;
     readonly pauseMs: Milliseconds;
     readonly retryAfterMs: Milliseconds;
+    /** Set if the bucket holds less than another accounting node would begin with. */
+    readonly bucket?: BucketState;
 }
 
 /** `advance` must be called at this interval while the ledger has accounts. */
@@ -83,6 +92,9 @@
     share: number;
     tokens: number;
     refilledAt: Milliseconds;
+    readonly openedAt: Milliseconds;
+    /** Tokens granted since then, less those returned. */
+    granted: number;
     /** Tokens that may still be used. */
     outstanding: GrantedLot[];
     readonly askers: Map<string, Asker>;
@@ -126,8 +138,17 @@
             const refilledAt = this.options.clock.now();
             const share = this.options.respondingShare(isSubstitute);
             const tokens = computeInitialTokens(limit, this.options.bound, share);
-            const account = { limit, isSubstitute, share, tokens, refilledAt, outstanding: [], askers: new Map() };
-            this.accounts.set(organisation, account);
+            this.accounts.set(organisation, {
+                limit,
+                isSubstitute,
+                share,
+                tokens,
+                refilledAt,
+                openedAt: refilledAt,
+                granted: 0,
+                outstanding: [],
+                askers: new Map(),
+            });
             return true;
         }
         this.refill(existing);
@@ -142,13 +163,16 @@
     }
 
     /** Grants tokens of an open account. */
-    grant(node: string, { organisation, tokens: asked, demand, returned }: AllowanceAsk): LedgerGrant {
+    grant(node: string, { organisation, tokens: asked, demand, returned, previous }: AllowanceAsk): LedgerGrant {
         this.detectGap();
         const account = this.accounts.get(organisation);
         if (account === undefined) {
             return { tokens: 0, validMs: 0, pauseMs: minPauseMs, retryAfterMs: minPauseMs };
         }
         this.refill(account);
+        if (previous !== undefined) {
+            this.continueBucket(account, previous);
+        }
         const now = this.options.clock.now();
         const lots = this.acceptReturn(account, node, returned);
         const isTight = this.isAccountTight(account);
@@ -158,15 +182,37 @@
         const available = Math.max(0, Math.floor(account.tokens));
         const tokens = Math.min(available, asked + prefetched, maxTokensPerGrant);
         account.tokens -= tokens;
+        account.granted += tokens;
         const lot = { tokens, expiresAt: now + validMs };
         this.recordAsker(account, node, { askedAt: now, demand, lots: addLot(lots, lot) });
         account.outstanding = addLot(account.outstanding, lot);
+        const bucket = this.describeBucket(account);
         if (tokens >= asked) {
-            return { tokens, validMs, pauseMs: 0, retryAfterMs: 0 };
+            return { tokens, validMs, pauseMs: 0, retryAfterMs: 0, ...bucket };
         }
         const pauseMs = Math.min(maxPauseMs, Math.max(minPauseMs, pausePerAskerMs * account.askers.size));
         const retryAfterMs = Math.min(maxRetryAfterMs, this.estimateRoomMs(account, pauseMs));
-        return { tokens, validMs, pauseMs, retryAfterMs };
+        return { tokens, validMs, pauseMs, retryAfterMs, ...bucket };
+    }
+
+    /**
+     * Continues the bucket of an earlier accounting node, which may have granted on since this one is responsible: what
+     * both have granted counts against one bucket. Later reports of the same window are more complete.
+     */
+    private continueBucket(account: Account, { tokens, heldMs, ageMs }: PreviousBucket): void {
+        const responsibleMs = this.options.clock.now() - account.openedAt;
+        if (responsibleMs > this.options.bound.windowMs || ageMs + heldMs <= responsibleMs) {
+            return;
+        }
+        const earned = ageMs * this.computeRate(account) / millisecondsPerSecond;
+        account.tokens = Math.min(account.tokens, tokens + earned - account.granted);
+    }
+
+    private describeBucket({ limit, tokens, openedAt }: Account): { readonly bucket?: BucketState } {
+        const heldMs = Math.round(this.options.clock.now() - openedAt);
+        return tokens < computeMaxInitialTokens(limit, this.options.bound)
+            ? { bucket: { tokens: Math.floor(tokens), heldMs } }
+            : {};
     }
 
     /** Time until a refused call may expect room: after the pause, all nodes ask for the calls that arrive in it. */
@@ -277,6 +323,7 @@
         }
         const capacity = computeCapacity(account.limit, this.options.bound);
         account.tokens = Math.min(capacity, account.tokens + returned - remaining);
+        account.granted -= returned - remaining;
         return lots.filter(({ tokens }) => tokens > 0);
     }
 
--- a/coordination/quotas/src/quotaNode.ts
+++ b/coordination/quotas/src/quotaNode.ts
@@ -18,7 +18,7 @@
 } from "@bilberrycroft/protocol.forwarding";
 import { selectAccountingNode } from "./accountingNode";
 import { NodeContacts, type QuotaPeer } from "./nodeContacts";
-import { admitted, QuotaAllowances, type QuotaDecision, QuotaDecisionKind, QuotaRefusalCause } from "./quotaAllowances";
+import { admitted, type GrantOrigin, QuotaAllowances, type QuotaDecision, QuotaDecisionKind, QuotaRefusalCause } from "./quotaAllowances";
 import type { QuotaBound } from "./quotaBound";
 import { ledgerIntervalMs, maxAccounts, QuotaLedger } from "./quotaLedger";
 
@@ -198,7 +198,7 @@
         for (const { organisation } of pending.asks) {
             this.organisationsInFlight.delete(organisation);
             const grant = byOrganisation.get(organisation) ?? { kind: AllowanceGrantKind.Declined, organisation };
-            this.applyGrant(grant, pending.sentAt);
+            this.applyGrant(grant, { from: pending.to, askedAt: pending.sentAt });
         }
     }
 
@@ -214,6 +214,7 @@
         }
         for (const { organisation } of pending.asks) {
             this.organisationsInFlight.delete(organisation);
+            this.allowances.markUncertain(organisation);
             if (cause !== NoReplyCause.Broken) {
                 this.allowances.markUnanswered(organisation);
                 this.takeWaiting(organisation, () => true)
@@ -279,14 +280,15 @@
         if (this.organisationsInFlight.has(organisation) || isTooEarly) {
             return;
         }
-        const ask = this.allowances.createAsk(organisation, this.waitingCalls.get(organisation)?.length ?? 0);
-        const to = ask === undefined ? undefined : this.select(organisation);
+        const waitingCalls = this.waitingCalls.get(organisation)?.length ?? 0;
+        const to = this.allowances.needsAsk(organisation, waitingCalls) ? this.select(organisation) : undefined;
+        const ask = to === undefined ? undefined : this.allowances.createAsk(organisation, waitingCalls, to);
         if (ask === undefined || to === undefined) {
             return;
         }
         this.recordSelection(organisation, to);
         if (to === node) {
-            return this.applyGrant(this.answer(node, ask, this.version), clock.now());
+            return this.applyGrant(this.answer(node, ask, this.version), { from: node, askedAt: clock.now() });
         }
         this.organisationsInFlight.add(organisation);
         const asks = this.outbox.get(to) ?? [];
@@ -294,13 +296,13 @@
         asks.push(ask);
     }
 
-    private applyGrant(grant: AllowanceGrant, askedAt: Milliseconds): void {
+    private applyGrant(grant: AllowanceGrant, origin: GrantOrigin): void {
         const { organisation } = grant;
         if (grant.kind === AllowanceGrantKind.Declined) {
             this.notBefore.set(organisation, this.options.clock.now() + declinedDelayMs);
             return;
         }
-        this.allowances.handleGrant(grant, askedAt);
+        this.allowances.handleGrant(grant, origin);
         this.settle(organisation);
     }
 
--- a/coordination/quotas/test/quotaLedger.test.ts
+++ b/coordination/quotas/test/quotaLedger.test.ts
@@ -1,6 +1,6 @@
 import { ManualClock } from "@bilberrycroft/core.clock";
 import { createSeededRandom } from "@bilberrycroft/core.random";
-import { AllowanceGrantKind, type AllowanceAsk } from "@bilberrycroft/protocol.forwarding";
+import { AllowanceGrantKind, type AllowanceAsk, type PreviousBucket } from "@bilberrycroft/protocol.forwarding";
 import {
     computeCapacity,
     hashNode,
@@ -95,6 +95,66 @@
         expect(ledger.grant("a", createAsk({ tokens: 1_000 })).tokens).toBeLessThanOrEqual(computeCapacity(lowered, bound));
     });
 
+    // Guards against accounting nodes that each grant the same part of the quota after one another.
+    describe("that continues the bucket of another accounting node", () => {
+        const small = { callsPerSecond: 5, burst: 5 };
+        const createSmall = () => {
+            const { ledger, pass } = createLedger();
+            const rival = "small";
+            ledger.open(rival, small, false);
+            const ask = (tokens: number, previous?: PreviousBucket) => {
+                const fields = { organisation: rival, tokens, demand: 0, returned: 0, limit: small };
+                return ledger.grant("a", previous === undefined ? fields : { ...fields, previous }).tokens;
+            };
+            return { ledger, pass, ask };
+        };
+
+        it("grants no part of the reserve again", () => {
+            expect(createSmall().ask(100)).toBeGreaterThan(0);
+            expect(createSmall().ask(100, { tokens: 0, heldMs: 1_000, ageMs: 10 })).toBe(0);
+        });
+
+        it("grants what was earned since the report", () => {
+            const { pass, ask } = createSmall();
+            pass(400);
+            expect(ask(100, { tokens: 0, heldMs: 1_000, ageMs: 400 })).toBe(2);
+        });
+
+        it("takes back what both have granted, as soon as it is told", () => {
+            const { pass, ask } = createSmall();
+            const granted = ask(100);
+            pass(100);
+            expect(ask(1, { tokens: 0, heldMs: 1_000, ageMs: 0 })).toBe(0);
+            pass(1_000 * granted / small.callsPerSecond - 100);
+            expect(ask(1)).toBe(0);
+            pass(400);
+            expect(ask(1)).toBe(1);
+        });
+
+        it.each([
+            ["that became responsible later", { tokens: -100, heldMs: 10, ageMs: 10 }, 1_000],
+            ["of an earlier window", { tokens: -100, heldMs: 9_000, ageMs: 10 }, bound.windowMs + 1_000],
+        ])("ignores a node %s", (_, previous, responsibleMs) => {
+            const { ledger, pass, ask } = createSmall();
+            for (let at = 0; at < responsibleMs; at += 250) {
+                pass(250);
+                ledger.advance();
+            }
+            expect(ask(1, previous)).toBe(1);
+        });
+
+        it("tells of its bucket while that holds less than another node would begin with", () => {
+            const { ledger, pass } = createSmall();
+            const fields = { organisation: "small", tokens: 1, demand: 0, returned: 0, limit: small };
+            expect(ledger.grant("a", { ...fields, tokens: 100 }).bucket).toMatchObject({ tokens: 0, heldMs: 0 });
+            for (let at = 0; at < 4_000; at += 250) {
+                pass(250);
+                ledger.advance();
+            }
+            expect(ledger.grant("a", fields).bucket).toBeUndefined();
+        });
+    });
+
     it("withholds the parts of nodes that do not respond once the bucket is tight", () => {
         const { ledger, pass } = createLedger(0.5);
         ledger.grant("a", createAsk());
@@ -113,7 +173,7 @@
         allowances.setLimits(new Map([[organisation, { callsPerSecond, burst: 50 }]]));
         const receive = (tokens: number, askedAt: number, pauseMs = 0): void => allowances.handleGrant(
             { kind: AllowanceGrantKind.Granted, organisation, tokens, validMs, pauseMs, retryAfterMs: 2 * pauseMs },
-            askedAt,
+            { from: "accounting", askedAt },
         );
         return { clock, allowances, receive };
     }
@@ -134,13 +194,13 @@
         const { clock, allowances, receive } = createAllowances();
         receive(0, 0, 100);
         expect(allowances.decide(organisation)).toMatchObject({ kind: QuotaDecisionKind.Refused, retryAfterMs: 200 });
-        expect(allowances.createAsk(organisation, 1)).toBeUndefined();
+        expect(allowances.createAsk(organisation, 1, "accounting")).toBeUndefined();
         // A delay that is rounded to 0 would make callers return at once.
         clock.advance(99.9);
         receive(0, 0, 0.01);
         expect(allowances.decide(organisation)).toMatchObject({ retryAfterMs: 10 });
         clock.advance(0.1);
-        expect(allowances.createAsk(organisation, 1)).toMatchObject({ tokens: 1 });
+        expect(allowances.createAsk(organisation, 1, "accounting")).toMatchObject({ tokens: 1 });
     });
 
     it.each([[10, 100], [72, 3], [670, 3]])("admit the rate together by equal parts: %i nodes, %i calls/s", (nodes, rate) => {
@@ -163,6 +223,35 @@
         expect(admitted).toBeLessThan(expected + 20);
     });
 
+    describe("tell of the bucket as the last grant left it", () => {
+        const createAllowancesWithBucket = () => {
+            const { clock, allowances } = createAllowances();
+            const kind = AllowanceGrantKind.Granted;
+            const grant = { kind, organisation, tokens: 0, validMs, pauseMs: 0, retryAfterMs: 0 } as const;
+            allowances.handleGrant({ ...grant, bucket: { tokens: 2, heldMs: 700 } }, { from: "first", askedAt: 0 });
+            clock.advance(40);
+            const getPrevious = (to: string) => allowances.createAsk(organisation, 1, to)?.previous;
+            return { clock, allowances, grant, getPrevious };
+        };
+
+        it("to another accounting node, and to the same one only after a request has failed", () => {
+            const { allowances, getPrevious } = createAllowancesWithBucket();
+            expect(getPrevious("first")).toBeUndefined();
+            expect(getPrevious("second")).toEqual({ tokens: 2, heldMs: 700, ageMs: 40 });
+            allowances.markUncertain(organisation);
+            expect(getPrevious("first")).toEqual({ tokens: 2, heldMs: 700, ageMs: 40 });
+        });
+
+        it("neither after one window nor after a grant that says nothing of it", () => {
+            const { clock, allowances, grant, getPrevious } = createAllowancesWithBucket();
+            allowances.handleGrant(grant, { from: "first", askedAt: 0 });
+            expect(getPrevious("second")).toBeUndefined();
+            allowances.handleGrant({ ...grant, bucket: { tokens: 2, heldMs: 700 } }, { from: "first", askedAt: 0 });
+            clock.advance(bound.windowMs + 1);
+            expect(getPrevious("second")).toBeUndefined();
+        });
+    });
+
     it("drop the state of organisations that are gone", () => {
         const { allowances, receive } = createAllowances();
         receive(5, 0);
--- a/protocol/forwarding/src/allowanceMessages.ts
+++ b/protocol/forwarding/src/allowanceMessages.ts
@@ -12,6 +12,20 @@
     readonly burst: number;
 }
 
+/** The bucket of an organisation after a grant, which the next accounting node continues. */
+export interface BucketState {
+    /** Tokens in the bucket; negative if more was granted than had been earned. */
+    readonly tokens: number;
+    /** Time for which the accounting node has been responsible. */
+    readonly heldMs: Milliseconds;
+}
+
+/** What an accounting node has told of its bucket. */
+export interface PreviousBucket extends BucketState {
+    /** Time since the sender was told. */
+    readonly ageMs: Milliseconds;
+}
+
 /** Request for the tokens of one organisation. */
 export interface AllowanceAsk {
     readonly organisation: string;
@@ -23,6 +37,8 @@
     readonly returned: number;
     /** Limit in the sender's configuration. */
     readonly limit: QuotaLimit;
+    /** Set if the last grant that said something of the bucket may be of another accounting node or process. */
+    readonly previous?: PreviousBucket | undefined;
 }
 
 /** Requests tokens; without asks, only a reply that shows that the receiver responds. */
@@ -53,6 +69,8 @@
         readonly pauseMs: Milliseconds;
         /** Time until there is room for one more call. */
         readonly retryAfterMs: Milliseconds;
+        /** Omitted while the next accounting node may begin without it. */
+        readonly bucket?: BucketState | undefined;
     };
 
 /** Reply to `AllowanceRequest`. */
@@ -105,13 +123,28 @@
     }
     const { organisation, tokens, demand, returned } = value;
     const { callsPerSecond, burst } = value.limit;
+    const previous = parsePreviousBucket(value.previous);
     return isName(organisation) && isTokenCount(tokens) && isTokenCount(returned)
         && isInRange(demand, maxCallsPerSecond) && isInRange(callsPerSecond, maxCallsPerSecond) && callsPerSecond > 0
         && isInRange(burst, maxCallsPerSecond)
-        ? { organisation, tokens, demand, returned, limit: { callsPerSecond, burst } }
+        ? { organisation, tokens, demand, returned, limit: { callsPerSecond, burst }, ...previous && { previous } }
         : undefined;
 }
 
+/** Returns `undefined` if there is none, or none that can be read; the bucket then begins without it. */
+function parseBucketState(value: unknown): BucketState | undefined {
+    const { tokens, heldMs } = isRecord(value) ? value : {};
+    return isNumber(tokens) && Math.abs(tokens) <= maxTokensPerGrant && isInRange(heldMs, Number.MAX_SAFE_INTEGER)
+        ? { tokens, heldMs }
+        : undefined;
+}
+
+function parsePreviousBucket(value: unknown): PreviousBucket | undefined {
+    const state = parseBucketState(value);
+    const { ageMs } = isRecord(value) ? value : {};
+    return state !== undefined && isInRange(ageMs, maxDelayMs) ? { ...state, ageMs } : undefined;
+}
+
 function parseGrant(value: unknown): AllowanceGrant | undefined {
     if (!isRecord(value) || !isName(value.organisation)) {
         return undefined;
@@ -120,9 +153,10 @@
     if (kind === AllowanceGrantKind.Declined) {
         return { kind, organisation };
     }
+    const bucket = parseBucketState(value.bucket);
     return kind === AllowanceGrantKind.Granted && isTokenCount(tokens)
         && isInRange(validMs, maxDelayMs) && isInRange(pauseMs, maxDelayMs) && isInRange(retryAfterMs, maxDelayMs)
-        ? { kind, organisation, tokens, validMs, pauseMs, retryAfterMs }
+        ? { kind, organisation, tokens, validMs, pauseMs, retryAfterMs, ...bucket && { bucket } }
         : undefined;
 }
 
