Reproduce late configurations of a returned store with processes

Ruled out by runs without a late request: stores that turn nodes or a zone away, are down or silent, drop their history; killed and frozen nodes; overload.

--- a/bench/src/soak/arguments.ts
+++ b/bench/src/soak/arguments.ts
@@ -39,6 +39,7 @@
     program.option("--seconds <n>", "Seconds of requests for each seed", { default: bounds.seconds.default });
     program.option("--program <file>", "Built sidecar", { default: "dist/bilberrycroft-sidecar.cjs" });
     program.option("--node-flags <flags>", "Flags of Node.js for the sidecar, separated by spaces", { default: "" });
+    program.option("--store-returns", "The store comes back from copies", { default: false });
     program.help();
     const { options } = program.parse([...argv], { run: false });
     if (options.help === true) {
@@ -59,6 +60,7 @@
             hosts: Number(options.hosts),
             durationMs: Number(options.seconds) * millisecondsPerSecond,
             program: String(options.program),
+            returnsStore: options.storeReturns === true,
             nodeFlags: String(options.nodeFlags).split(" ").filter(flag => flag !== ""),
         },
     };
