Bound the completions that wait to be reported

Nodes that share reports by gossip never ask for them, so that the map grew by one entry for each request with two crashes and a completion.

--- a/coordination/quarantine/src/quarantine.ts
+++ b/coordination/quarantine/src/quarantine.ts
@@ -196,7 +196,8 @@
     }
 
     private noteUnreported(history: CrashHistory, fingerprint: string): void {
-        if (history.unreportedCompletionAt !== undefined && !this.unreportedSince.has(fingerprint)) {
+        const isFull = this.unreportedSince.size >= maxFingerprints;
+        if (history.unreportedCompletionAt !== undefined && !this.unreportedSince.has(fingerprint) && !isFull) {
             this.unreportedSince.set(fingerprint, this.clock.now());
         }
     }
